--- /dev/null
+++ b/src/coordination/gateway/load_ledger.h
@@ -0,0 +1,94 @@
+/** @file load_ledger.h Work in progress at each target: what this gateway sent
+ * itself, and what the others report. */
+#pragma once
+
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "protocol/registry_messages.h"
+#include "state/clock_type.h"
+#include "state/ids_type.h"
+
+namespace gv {
+
+using WorkId = TypedId<struct WorkTag>;  ///< One request in the ledger.
+
+/** What a target does at a moment, as far as this gateway knows. */
+struct TargetLoad {
+  int64_t requests_ = 0;   ///< In progress.
+  double prefill_ms_ = 0;  ///< Prefill not yet done.
+  int64_t tokens_ = 0;     ///< KV memory of the requests in progress.
+};
+
+/** Prefill of a request at one target. */
+struct PrefillPart {
+  TargetId target_;     ///< Owner or helper.
+  double ms_ = 0;       ///< Predicted.
+  int64_t tokens_ = 0;  ///< Memory that the request holds there.
+};
+
+/** A placed request. The first part is the owner's. */
+struct PlacedWork {
+  std::vector<PrefillPart> parts_;  ///< Never empty.
+  bool is_short_ = true;            ///< Counts among the short streams.
+};
+
+/**
+ * Adds up work by target. Prefill is predicted to go on without a break, so a
+ * backlog shrinks with time by itself. Thread safety: owned by one thread.
+ */
+class LoadLedger {
+ public:
+  /** Counts a request. @pre @p work has a part. */
+  WorkId Begin(TimePoint now, const PlacedWork& work);
+  /** A request ended in any way. Unknown ids are ignored. */
+  void End(WorkId id);
+
+  /** Replaces what another gateway reported. */
+  void SetRemote(TimePoint now, const NodeId& gateway, const GatewayLoad& load);
+  /** Forgets reports that are older than @p age. */
+  void ForgetRemote(TimePoint now, Duration age);
+
+  /** @return The load of one target. */
+  TargetLoad At(TimePoint now, const TargetId& target) const;
+  /** @return What this gateway reports to the others. */
+  GatewayLoad Own(TimePoint now);
+  /** @return Streams of short prompts in progress at all gateways. */
+  int64_t ShortStreams() const;
+  /** @return Prefill of long prompts begun in the last second at all gateways,
+   * in milliseconds. */
+  double LongPrefillMs(TimePoint now) const;
+
+ private:
+  /** Own work at one target. */
+  struct OwnLoad {
+    int64_t requests_ = 0;  ///< In progress.
+    int64_t tokens_ = 0;    ///< Held.
+    TimePoint busy_until_;  ///< When the prefill begun so far is done.
+  };
+  /** What one other gateway reported. */
+  struct Remote {
+    TimePoint at_;                                      ///< When.
+    std::unordered_map<TargetId, TargetLoadRow> rows_;  ///< By target.
+    int64_t short_streams_ = 0;                         ///< In progress there.
+    int64_t long_prefill_ms_ = 0;                       ///< In the last second.
+  };
+  /** Prefill of long prompts in a short span. */
+  struct Span {
+    TimePoint start_;  ///< Begin of the span.
+    double ms_ = 0;    ///< Prefill begun in it.
+  };
+
+  double OwnLongPrefillMs(TimePoint now) const;
+
+  WorkId last_;                                  ///< For new ids.
+  std::unordered_map<WorkId, PlacedWork> work_;  ///< In progress.
+  std::unordered_map<TargetId, OwnLoad> own_;    ///< By target.
+  std::map<NodeId, Remote> remote_;              ///< By gateway.
+  int64_t short_streams_ = 0;                    ///< Own.
+  std::vector<Span> long_prefill_;               ///< Own, last second.
+};
+
+}  // namespace gv
--- /dev/null
+++ b/src/coordination/gateway/placement.h
@@ -0,0 +1,88 @@
+/** @file placement.h Chooses the target of a request, and the engines that read
+ * a long prompt together. */
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coordination/gateway/load_ledger.h"
+#include "coordination/gateway/target_directory.h"
+#include "coordination/gateway/target_health.h"
+#include "state/routing_type.h"
+
+namespace gv {
+
+/** What is to be placed. */
+struct PlacementRequest {
+  const Service* service_ = nullptr;  ///< Where to.
+  int64_t prompt_tokens_ = 0;         ///< Zero for plain services.
+  int64_t answer_tokens_ = 0;         ///< Most that may be written.
+  std::vector<TargetId> tried_;       ///< Targets that failed this request.
+  uint64_t hash_ = 0;                 ///< Breaks ties.
+};
+
+/** Memory to be reserved at one engine. */
+struct ReservationPlan {
+  TargetId target_;     ///< The engine.
+  int64_t tokens_ = 0;  ///< How much.
+};
+
+/** Where a request goes. */
+struct Placement {
+  TargetId target_;                            ///< Gets the request.
+  std::vector<TargetId> helpers_;              ///< Read parts of the prompt.
+  std::vector<ReservationPlan> reservations_;  ///< For prompts that don't fit.
+  PlacedWork work_;                            ///< For the ledger.
+  double wait_ms_ = 0;     ///< Predicted time to the first event.
+  size_t candidates_ = 0;  ///< Targets that could be chosen.
+};
+
+/**
+ * Reads of long prompts are spread over many engines, away from those that
+ * write short answers; the border between the two follows the load. Pure but
+ * for its references. Thread safety: owned by one thread.
+ */
+class Placer {
+ public:
+  /** @param own Data centre of this gateway. All references must outlive it. */
+  Placer(DataCentreId own, const TargetDirectory& directory,
+         const LoadLedger& ledger, const TargetHealth& health)
+      : own_(std::move(own)),
+        directory_(directory),
+        ledger_(ledger),
+        health_(health) {}
+
+  /** @return Where to send a request, or nothing if no target may take it. */
+  std::optional<Placement> Place(TimePoint now,
+                                 const PlacementRequest& request) const;
+
+  /** @return How many of @p engines are left to short prompts. */
+  size_t ShortShare(TimePoint now, const EngineProfile& engine,
+                    size_t engines) const;
+
+ private:
+  /** A target that may take work. */
+  struct Candidate {
+    const DirectoryEntry* entry_ = nullptr;  ///< The target.
+    TargetLoad load_;                        ///< Its work.
+    uint64_t order_ = 0;     ///< Place in an order that all gateways share.
+    double penalty_ms_ = 0;  ///< For distance, warm-up and failures.
+  };
+
+  std::vector<Candidate> Candidates(TimePoint now,
+                                    const PlacementRequest& request) const;
+  Placement PlaceCall(std::vector<Candidate>& candidates) const;
+  Placement PlacePrompt(TimePoint now, const PlacementRequest& request,
+                        std::vector<Candidate>& candidates) const;
+  static void Reserve(const EngineProfile& engine,
+                      const PlacementRequest& request,
+                      const std::vector<Candidate>& zone, Placement& placement);
+
+  DataCentreId own_;                  ///< Of this gateway.
+  const TargetDirectory& directory_;  ///< Targets.
+  const LoadLedger& ledger_;          ///< Their work.
+  const TargetHealth& health_;        ///< Their failures.
+};
+
+}  // namespace gv
--- /dev/null
+++ b/src/coordination/gateway/target_health.h
@@ -0,0 +1,53 @@
+/** @file target_health.h Judges targets by the outcomes of requests; what a
+ * target says of its own health is not asked. */
+#pragma once
+
+#include <unordered_map>
+
+#include "state/clock_type.h"
+#include "state/ids_type.h"
+
+namespace gv {
+
+/** How an attempt at a target ended, as far as its health is concerned. */
+enum class HealthOutcome : uint8_t {
+  kGood,         ///< A whole answer.
+  kFull,         ///< It refused since it was full; says nothing of its health.
+  kError,        ///< An answer that says that the target failed.
+  kUnreachable,  ///< No connection, a broken one, or silence.
+};
+
+/**
+ * Keeps a failure rate for each target. A target that cannot be reached is
+ * suspected at once, one that answers with errors once the rate is well above
+ * that of its peers; a suspected one is tried again after a growing delay.
+ * Thread safety: owned by one thread.
+ */
+class TargetHealth {
+ public:
+  /** Takes in an outcome. @return True if the target became suspected or
+   * trusted by it. */
+  bool OnOutcome(TimePoint now, const TargetId& target, HealthOutcome outcome);
+  /** @return True if requests should go elsewhere. */
+  bool IsSuspected(TimePoint now, const TargetId& target) const;
+  /** @return Part of the requests that fail lately, from 0 to 1. */
+  double FailureRate(const TargetId& target) const;
+  /** Forgets a target. */
+  void Forget(const TargetId& target) { states_.erase(target); }
+
+ private:
+  /** What is known of one target. */
+  struct State {
+    double failure_rate_ = 0;  ///< Moving average.
+    int64_t unreachable_ = 0;  ///< In a row.
+    bool suspected_ = false;   ///< Since the last good outcome.
+    TimePoint until_;          ///< No requests before this time.
+    Duration pause_;           ///< Length of the last pause.
+  };
+
+  void Suspect(TimePoint now, State& state) const;
+
+  std::unordered_map<TargetId, State> states_;  ///< By target.
+};
+
+}  // namespace gv
--- a/src/protocol/message.cc
+++ b/src/protocol/message.cc
@@ -79,5 +79,14 @@
 template Message::Message(GroupHeld);
 template Message::Message(TargetReserve);
 template Message::Message(TargetReserved);
+template Message::Message(RegistryPoll);
+template Message::Message(RegistryStatus);
+template Message::Message(ConfigurationPush);
+template Message::Message(TargetGossip);
+template Message::Message(ChangeForward);
+template Message::Message(ChangeOutcome);
+template Message::Message(ReadForward);
+template Message::Message(ReadOutcome);
+template Message::Message(GatewayLoad);
 
 }  // namespace gv
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -8,6 +8,7 @@
 
 #include "protocol/claim_messages.h"
 #include "protocol/control_messages.h"
+#include "protocol/registry_messages.h"
 #include "protocol/request_messages.h"
 #include "protocol/settings_messages.h"
 #include "protocol/target_messages.h"
@@ -48,7 +49,9 @@
     TestifyRequest, TestifyReply, TargetCall, TargetControl, TargetChunk,
     TargetEnd, TargetProbe, TargetStatus, TargetRelease, ClaimBegin, ClaimReply,
     ClaimFinish, ClaimFinished, GroupRequest, GroupReply, GroupRenew, GroupHold,
-    GroupHeld, TargetReserve, TargetReserved>;
+    GroupHeld, TargetReserve, TargetReserved, RegistryPoll, RegistryStatus,
+    ConfigurationPush, TargetGossip, ChangeForward, ChangeOutcome, ReadForward,
+    ReadOutcome, GatewayLoad>;
 
 /** True for the types that are alternatives of Variant. */
 template <class T, class Variant>
--- /dev/null
+++ b/src/protocol/registry_messages.h
@@ -0,0 +1,88 @@
+/** @file registry_messages.h Messages between gateways: leases, configurations,
+ * announced targets and load. */
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "state/clock_type.h"
+#include "state/ids_type.h"
+#include "state/target_registration_type.h"
+
+namespace gv {
+
+/** Any gateway to a registry member: asks for a lease and for what it lacks. */
+struct RegistryPoll {
+  uint64_t poll_ = 0;            ///< Number of the poll; copied to the reply.
+  uint64_t version_ = 0;         ///< Configuration that the sender serves.
+  uint64_t nodes_digest_ = 0;    ///< Of the gateways that the sender knows.
+  uint64_t targets_digest_ = 0;  ///< Of the targets that the sender knows.
+  bool has_disk_ = false;        ///< The sender could become a member.
+};
+
+/** Answers a RegistryPoll. */
+struct RegistryStatus {
+  uint64_t poll_ = 0;            ///< Copied from the poll.
+  NodeId leader_;                ///< As far as the sender knows; or none.
+  bool grant_ = false;           ///< The sender leads and nobody else can.
+  uint64_t version_ = 0;         ///< Newest configuration known to the sender.
+  uint64_t nodes_digest_ = 0;    ///< Of nodes.
+  uint64_t targets_digest_ = 0;  ///< Of the targets that the sender knows.
+  std::vector<NodeId> members_;  ///< Members of the registry; may be empty.
+  std::vector<NodeId> nodes_;    ///< All gateways; empty if the digests agree.
+};
+
+/** A whole configuration, from a member to a gateway that has an older one. */
+struct ConfigurationPush {
+  uint64_t version_ = 0;  ///< Its version.
+  std::string text_;      ///< As the operator sent it.
+};
+
+/** Announced targets that the sender holds newer than before. */
+struct TargetGossip {
+  std::vector<TargetRegistration> targets_;  ///< Some or all.
+  bool is_full_ = false;                     ///< All that the sender knows.
+  bool wants_reply_ = false;  ///< The receiver sends all that it knows back.
+};
+
+/** A change of the configuration on its way to the leader. */
+struct ChangeForward {
+  OperationId operation_;  ///< Matches ChangeOutcome.
+  uint64_t version_ = 0;   ///< Version of the configuration.
+  std::string text_;       ///< The configuration.
+};
+
+/** Answers a ChangeForward. */
+struct ChangeOutcome {
+  OperationId operation_;  ///< Copied.
+  bool accepted_ = false;  ///< False: nothing is known, ask again.
+};
+
+/** Asks the leader which version is the newest. */
+struct ReadForward {
+  OperationId operation_;  ///< Matches ReadOutcome.
+};
+
+/** Answers a ReadForward. */
+struct ReadOutcome {
+  OperationId operation_;   ///< Copied.
+  bool confirmed_ = false;  ///< The sender led when it answered.
+  uint64_t version_ = 0;    ///< Newest accepted version.
+};
+
+/** Work of one gateway at one target. */
+struct TargetLoadRow {
+  TargetId target_;         ///< The target.
+  int64_t requests_ = 0;    ///< In progress.
+  int64_t prefill_ms_ = 0;  ///< Prefill not yet done, as predicted.
+  int64_t tokens_ = 0;      ///< KV memory of the requests in progress.
+};
+
+/** A gateway to all others: its work in progress. */
+struct GatewayLoad {
+  std::vector<TargetLoadRow> rows_;  ///< Targets with work.
+  int64_t short_streams_ = 0;        ///< Streams of short prompts in progress.
+  int64_t long_prefill_ms_ = 0;      ///< Prefill of long prompts, last second.
+};
+
+}  // namespace gv
--- a/src/state/process_settings.cc
+++ b/src/state/process_settings.cc
@@ -91,9 +91,9 @@
     case TextRule::kMember:
       return IsMember(text) ? "" : "\"" + text + "\" is no node=IP:port";
     case TextRule::kRole:
-      return IsOneOf(text, {"entry", "agent", "control"})
+      return IsOneOf(text, {"entry", "agent", "control", "gateway"})
                  ? ""
-                 : "\"" + text + "\" is none of entry, agent, control";
+                 : "\"" + text + "\" is none of entry, agent, control, gateway";
     case TextRule::kKind:
       return IsOneOf(text, {"engine", "service"})
                  ? ""
@@ -151,6 +151,22 @@
     settings_.*member = number;
   }
 
+  void operator()(double ProcessSettings::*member) const {
+    const std::string text = Scalar();
+    double number = 0;
+    const auto [end, error] =
+        std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc() || end != text.data() + text.size()) {
+      reading_.Problem(Line(), key_.path_, "\"" + text + "\" is no number");
+    } else if (number < static_cast<double>(key_.min_) ||
+               number > static_cast<double>(key_.max_)) {
+      reading_.Problem(Line(), key_.path_,
+                       text + " is outside " + std::to_string(key_.min_) +
+                           " to " + std::to_string(key_.max_));
+    }
+    settings_.*member = number;
+  }
+
   void operator()(bool ProcessSettings::*member) const {
     const std::string text = Scalar();
     if (text != "true" && text != "false") {
@@ -191,6 +207,12 @@
       return settings.HasRole("agent");
     case NeededBy::kControl:
       return settings.HasRole("control");
+    case NeededBy::kGateway:
+      return settings.HasRole("gateway");
+    case NeededBy::kCallers:
+      return settings.HasRole("entry") || settings.HasRole("gateway");
+    case NeededBy::kFixedGroup:
+      return !settings.HasRole("gateway");
   }
   return false;
 }
@@ -202,6 +224,9 @@
       reading.Problem(0, key.path_, "is missing");
     }
   }
+  if (settings.HasRole("gateway") && settings.roles_.size() > 1) {
+    reading.Problem(0, "roles", "gateway must be the only role");
+  }
   if (!settings.HasRole("control")) {
     return;
   }
@@ -283,8 +308,8 @@
 }
 
 std::string ProcessSettingsTable() {
-  static constexpr std::array<std::string_view, 4> kTypes{"text", "number",
-                                                          "true/false", "list"};
+  static constexpr std::array<std::string_view, 5> kTypes{
+      "text", "number", "true/false", "list", "fraction"};
   std::ostringstream out;
   out << "| Key | Type | Default | Bounds | Meaning |\n|---|---|---|---|---|\n";
   for (const ProcessKey& key : kProcessKeys) {
--- a/src/state/table/process_settings.h
+++ b/src/state/table/process_settings.h
@@ -14,10 +14,20 @@
 using ProcessMember =
     std::variant<std::string ProcessSettings::*, int64_t ProcessSettings::*,
                  bool ProcessSettings::*,
-                 std::vector<std::string> ProcessSettings::*>;
+                 std::vector<std::string> ProcessSettings::*,
+                 double ProcessSettings::*>;
 
 /** Which processes must have a key. */
-enum class NeededBy : uint8_t { kNobody, kAll, kEntry, kAgent, kControl };
+enum class NeededBy : uint8_t {
+  kNobody,
+  kAll,
+  kEntry,
+  kAgent,
+  kControl,
+  kGateway,
+  kCallers,     ///< Entries and gateways.
+  kFixedGroup,  ///< All but gateways, which find each other.
+};
 
 /** How text is checked. */
 enum class TextRule : uint8_t {
@@ -62,14 +72,16 @@
     ProcessKey{
         "key_file", &P::key_file_, "", N::kAll, R::kAny, 0, 0, "",
         "File with the key by which processes of one system know each other."},
-    ProcessKey{"roles", &P::roles_, "", N::kAll, R::kRole, 0, 0, "",
-               "Roles of this process: entry, agent, control."},
+    ProcessKey{
+        "roles", &P::roles_, "", N::kAll, R::kRole, 0, 0, "",
+        "Roles of this process: entry, agent, control; or gateway alone."},
     ProcessKey{"threads", &P::traffic_threads_, "2", N::kNobody, R::kAny, 1, 64,
                "", "Threads for traffic, beside the one for control state."},
     ProcessKey{"listen.peers", &P::listen_peers_, "", N::kAll, R::kAddress, 0,
                0, "", "Where other processes reach this one."},
-    ProcessKey{"listen.callers", &P::listen_callers_, "", N::kEntry,
-               R::kAddress, 0, 0, "", "Where callers reach this entry."},
+    ProcessKey{"listen.callers", &P::listen_callers_, "", N::kCallers,
+               R::kAddress, 0, 0, "",
+               "Where callers reach this entry or gateway."},
     ProcessKey{
         "listen.operators", &P::listen_operators_, "", N::kControl, R::kAddress,
         0, 0, "",
@@ -89,8 +101,8 @@
     ProcessKey{"callers.max_deadline_ms", &P::max_deadline_ms_, "3600000",
                N::kNobody, R::kAny, 1, kDayMs, "ms",
                "Longest deadline that a request may name."},
-    ProcessKey{"control.members", &P::control_members_, "", N::kAll, R::kMember,
-               0, 0, "", "The control processes as node=IP:port."},
+    ProcessKey{"control.members", &P::control_members_, "", N::kFixedGroup,
+               R::kMember, 0, 0, "", "The control processes as node=IP:port."},
     ProcessKey{"control.data_folder", &P::data_folder_, "", N::kControl,
                R::kAny, 0, 0, "",
                "Folder for durable state; used by one process only."},
@@ -133,6 +145,36 @@
                "Log file; standard error if empty."},
     ProcessKey{"log.level", &P::log_level_, "info", N::kNobody, R::kLevel, 0, 0,
                "", "debug, info, warning or error."},
+    ProcessKey{"listen.readiness", &P::listen_readiness_, "", N::kGateway,
+               R::kAddress, 0, 0, "",
+               "Where the balancer asks a gateway whether it is ready."},
+    ProcessKey{"listen.control", &P::listen_control_, "", N::kGateway,
+               R::kAddress, 0, 0, "",
+               "Where targets and operators reach a gateway."},
+    ProcessKey{"listen.metrics", &P::listen_metrics_, "", N::kNobody,
+               R::kAddress, 0, 0, "", "Metrics of a gateway; none if empty."},
+    ProcessKey{"gateway.seeds", &P::gateway_seeds_, "", N::kGateway,
+               R::kAddress, 0, 0, "",
+               "Some gateways, by any of their addresses; the port of "
+               "listen.peers is the same on all."},
+    ProcessKey{"gateway.tolerated_losses", &P::gateway_tolerated_losses_, "1",
+               N::kNobody, R::kAny, 0, 10, "members",
+               "Members of the registry that may be lost at once."},
+    ProcessKey{"gateway.revocation_ms", &P::gateway_revocation_ms_, "5000",
+               N::kNobody, R::kAny, 1500, kDayMs, "ms",
+               "Longest time for which a replaced configuration is used."},
+    ProcessKey{"gateway.grace_ms", &P::gateway_grace_ms_, "8000", N::kNobody,
+               R::kAny, 1000, kDayMs, "ms",
+               "Longest planned stop of a gateway."},
+    ProcessKey{"gateway.retry_ratio", &P::gateway_retry_ratio_, "0.2",
+               N::kNobody, R::kAny, 0, 10, "",
+               "Repeats for each request to a service, over all gateways."},
+    ProcessKey{"gateway.retry_window_ms", &P::gateway_retry_window_ms_, "10000",
+               N::kNobody, R::kAny, 100, kDayMs, "ms",
+               "Time in which repeats are counted."},
+    ProcessKey{"gateway.retry_slack", &P::gateway_retry_slack_, "20",
+               N::kNobody, R::kAny, 0, 1000000, "repeats",
+               "Repeats in a window beside the ratio, over all gateways."},
     ProcessKey{"stop.announce_ms", &P::stop_announce_ms_, "3000", N::kNobody,
                R::kAny, 0, 600000, "ms",
                "An entry that stops serves on for so long while /readyz says "
--- /dev/null
+++ b/src/transport/gateway/caller_connection.cc
@@ -0,0 +1,248 @@
+/** @file caller_connection.cc Parses requests and writes answers. */
+#include "transport/gateway/caller_connection.h"
+
+#include <array>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/status.hpp>
+#include <cstdio>
+
+namespace gv {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+/** Bytes of later requests that are read while one is in progress. */
+constexpr size_t kMostPipelined = 64UL << 10;
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kTooLarge = 413;
+constexpr unsigned kHeaderTooLarge = 431;
+
+}  // namespace
+
+GatewayCaller::GatewayCaller(asio::ip::tcp::socket socket, GatewayBounds bounds,
+                             TimePoint now)
+    : socket_(std::move(socket)),
+      bounds_(bounds),
+      now_(now),
+      idle_since_(now) {}
+
+void GatewayCaller::Start(GatewayCallerHooks hooks) {
+  hooks_ = std::move(hooks);
+  boost::system::error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  Read();
+}
+
+void GatewayCaller::Read() {
+  if (closed_ || input_.size() > kMostPipelined) {
+    return;
+  }
+  socket_.async_read_some(asio::buffer(chunk_),
+                          [self = shared_from_this()](
+                              boost::system::error_code error, size_t bytes) {
+                            if (self->closed_) {
+                              return;
+                            }
+                            if (error) {
+                              self->Close();
+                              return;
+                            }
+                            self->OnRead(bytes);
+                          });
+}
+
+void GatewayCaller::OnRead(size_t bytes) {
+  input_.append(chunk_.data(), bytes);
+  if (!busy_ && !close_after_) {
+    Parse();
+  }
+  Read();
+}
+
+void GatewayCaller::Parse() {
+  while (!input_.empty() && !busy_ && !closed_) {
+    if (!parser_) {
+      parser_.emplace();
+      parser_->header_limit(static_cast<uint32_t>(bounds_.header_bytes_));
+      parser_->body_limit(static_cast<uint64_t>(bounds_.body_bytes_));
+      parser_->eager(true);
+      continued_ = false;
+    }
+    boost::system::error_code error;
+    const size_t used = parser_->put(asio::buffer(input_), error);
+    input_.erase(0, used);
+    if (error && error != http::error::need_more) {
+      Refuse(error == http::error::header_limit ? kHeaderTooLarge
+             : error == http::error::body_limit ? kTooLarge
+                                                : kBadRequest);
+      return;
+    }
+    if (parser_->is_done()) {
+      busy_ = true;
+      head_only_ = parser_->get().method() == http::verb::head;
+      CallerRequestMessage request = parser_->release();
+      parser_.reset();
+      hooks_.request_(std::move(request));
+      return;
+    }
+    if (parser_->is_header_done() && !continued_ &&
+        parser_->get()[http::field::expect] == "100-continue") {
+      continued_ = true;
+      Send("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    if (error == http::error::need_more || used == 0) {
+      return;
+    }
+  }
+}
+
+void GatewayCaller::Refuse(unsigned status) {
+  busy_ = true;
+  Reply(WholeAnswer{status, {}, ""}, true);
+}
+
+std::string GatewayCaller::Head(unsigned status,
+                                const HttpFields& fields) const {
+  const auto reason = http::obsolete_reason(http::int_to_status(status));
+  std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
+  head.append(reason.data(), reason.size());
+  head += "\r\n";
+  for (const auto& field : fields) {
+    head.append(field.name_string().data(), field.name_string().size());
+    head += ": ";
+    head.append(field.value().data(), field.value().size());
+    head += "\r\n";
+  }
+  if (close_after_) {
+    head += "Connection: close\r\n";
+  }
+  return head;
+}
+
+void GatewayCaller::Reply(const WholeAnswer& answer, bool close) {
+  if (closed_ || !busy_) {
+    return;
+  }
+  close_after_ = close_after_ || close;
+  std::string text = Head(answer.status_, answer.fields_);
+  text += "Content-Length: " + std::to_string(answer.body_.size()) + "\r\n\r\n";
+  if (!head_only_) {
+    text += answer.body_;
+  }
+  Send(std::move(text));
+  FinishAnswer();
+}
+
+void GatewayCaller::BeginParts(unsigned status, const HttpFields& fields,
+                               bool close) {
+  if (closed_ || !busy_) {
+    return;
+  }
+  close_after_ = close_after_ || close;
+  Send(Head(status, fields) + "Transfer-Encoding: chunked\r\n\r\n");
+}
+
+void GatewayCaller::Part(std::string_view data) {
+  if (closed_ || !busy_ || data.empty()) {
+    return;
+  }
+  std::array<char, 20> size{};
+  const int length =
+      std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
+  std::string text(size.data(), static_cast<size_t>(length));
+  text += data;
+  text += "\r\n";
+  Send(std::move(text));
+}
+
+void GatewayCaller::EndParts() {
+  if (closed_ || !busy_) {
+    return;
+  }
+  Send("0\r\n\r\n");
+  FinishAnswer();
+}
+
+void GatewayCaller::FinishAnswer() {
+  busy_ = false;
+  idle_since_ = now_;
+  if (!close_after_ && !input_.empty()) {
+    asio::post(socket_.get_executor(), [self = shared_from_this()]() {
+      if (!self->closed_ && !self->busy_) {
+        self->Parse();
+      }
+    });
+  }
+}
+
+void GatewayCaller::Send(std::string text) {
+  output_ += text;
+  Write();
+}
+
+void GatewayCaller::Write() {
+  if (closed_ || !sending_.empty()) {
+    return;
+  }
+  if (output_.empty()) {
+    if (close_after_ && !busy_) {
+      boost::system::error_code ignored;
+      socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+      Close();
+    }
+    return;
+  }
+  sending_.swap(output_);
+  asio::async_write(
+      socket_, asio::buffer(sending_),
+      [self = shared_from_this()](boost::system::error_code error, size_t) {
+        self->sending_.clear();
+        if (error) {
+          self->Close();
+          return;
+        }
+        self->Write();
+      });
+}
+
+void GatewayCaller::BreakOff() { Close(); }
+
+void GatewayCaller::CloseIfIdle() {
+  if (!busy_ && !parser_ && input_.empty() && Unsent() == 0) {
+    Close();
+  }
+}
+
+void GatewayCaller::OnTick(TimePoint now) {
+  now_ = now;
+  if (busy_ || closed_) {
+    return;
+  }
+  // A request that is being read gets the time of a header from its start on;
+  // the start is not known exactly, so the idle time is added.
+  const Duration most =
+      parser_ ? bounds_.idle_time_ + bounds_.header_time_ : bounds_.idle_time_;
+  if (now - idle_since_ > most) {
+    Close();
+  }
+}
+
+void GatewayCaller::Close() {
+  if (closed_) {
+    return;
+  }
+  closed_ = true;
+  const auto self = shared_from_this();
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+  if (busy_) {
+    busy_ = false;
+    hooks_.gone_();
+  }
+  const auto closed = std::move(hooks_.closed_);
+  hooks_ = GatewayCallerHooks();
+  closed();
+}
+
+}  // namespace gv
--- /dev/null
+++ b/src/transport/gateway/forward.cc
@@ -0,0 +1,202 @@
+/** @file forward.cc Admits requests and ends them. */
+#include "transport/gateway/forward.h"
+
+#include <algorithm>
+
+#include "transport/gateway/gateway.h"
+#include "transport/http_reply.h"
+
+namespace gv {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr unsigned kUnauthorized = 401;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kUnavailable = 503;
+/** An answer must be with the caller before its deadline: one way to it, a
+ * tick, and the time of a busy machine. */
+constexpr Duration kAnswerMargin = 80_ms;
+/** The lease comes back after an election or a poll. */
+constexpr Duration kLeaseRetry = 1_s;
+
+}  // namespace
+
+Forward::Forward(Gateway& gateway, std::shared_ptr<GatewayCaller> caller,
+                 CallerRequestMessage request)
+    : gateway_(gateway),
+      caller_(std::move(caller)),
+      request_(std::move(request)),
+      facts_(gateway_.Codec().read_caller_(request_.base())),
+      arrived_(gateway_.Now()),
+      events_(facts_.last_event_) {}
+
+void Forward::Start() {
+  if (Admit()) {
+    TryTarget();
+  }
+}
+
+bool Forward::Admit() {
+  const TimePoint now = gateway_.Now();
+  const RoutingTable* table = gateway_.Table();
+  if (table == nullptr || !gateway_.Registry().HasLease(now)) {
+    Refuse(kUnavailable, table == nullptr ? "no-configuration" : "no-lease",
+           kLeaseRetry);
+    return false;
+  }
+  version_ = table->Configuration().version_;
+  const auto host = request_[http::field::host];
+  const auto path = request_.target();
+  const Route* route =
+      table->FindRoute({host.data(), host.size()}, {path.data(), path.size()});
+  if (route == nullptr) {
+    Refuse(kNotFound, "no-route", Duration());
+    return false;
+  }
+  route_ = *route;
+  priority_ = route_.priority_;
+  if (!Authenticate()) {
+    Refuse(kUnauthorized, "unknown-key", Duration());
+    return false;
+  }
+  const uint64_t hash = std::hash<std::string>()(facts_.attempt_);
+  service_ = *table->FindService(RoutingTable::ChooseService(route_, hash));
+  const Duration deadline = facts_.deadline_.value_or(route_.timeout_);
+  nobody_waits_ = arrived_ + std::min(deadline, route_.timeout_);
+  limit_ = arrived_ + std::min(deadline - kAnswerMargin, route_.timeout_);
+  gateway_.Retries(service_.name_).OnRequest(now);
+  Log(EventId::kForwardAdmitted,
+      "prompt=" + std::to_string(facts_.prompt_tokens_) +
+          " deadline_ms=" + std::to_string(deadline.Ms()) +
+          " config=" + std::to_string(version_));
+  return true;
+}
+
+bool Forward::Authenticate() {
+  const RoutingTable& table = *gateway_.Table();
+  if (!table.NeedsKeys()) {
+    return true;
+  }
+  const Customer* customer = table.FindCustomer(facts_.key_);
+  if (customer == nullptr) {
+    return route_.anonymous_;
+  }
+  customer_ = customer->name_;
+  priority_ = customer->priority_.value_or(priority_);
+  return true;
+}
+
+bool Forward::IsPrompt() const {
+  return service_.engine_.has_value() && facts_.prompt_tokens_ > 0;
+}
+
+Duration Forward::TimeLeft() const { return nobody_waits_ - gateway_.Now(); }
+
+void Forward::Refuse(unsigned status, const std::string& reason,
+                     Duration retry_after) {
+  WholeAnswer answer;
+  answer.status_ = status;
+  answer.fields_.set(http::field::content_type, "application/json");
+  if (retry_after > Duration()) {
+    // Spread, so that those who were refused together don't return together.
+    const uint64_t hash = std::hash<std::string>()(facts_.attempt_);
+    constexpr uint64_t kParts = 64;
+    const auto part = static_cast<int64_t>(hash % kParts);
+    const Duration spread =
+        retry_after + retry_after * part / static_cast<int64_t>(kParts);
+    char text[32];
+    std::snprintf(text, sizeof(text), "%.3f",
+                  static_cast<double>(spread.Ms()) / 1000);
+    answer.fields_.set(http::field::retry_after, text);
+  }
+  answer.body_ = VerdictBody(NotRun(Reason::kOverloaded, reason));
+  Log(EventId::kForwardRefused,
+      "status=" + std::to_string(status) + " reason=" + reason +
+          " retry_ms=" + std::to_string(retry_after.Ms()) +
+          " config=" + std::to_string(version_) +
+          " waited_ms=" + std::to_string((gateway_.Now() - arrived_).Ms()));
+  gateway_.Count(route_.kind_, "refused");
+  End();
+  caller_->Reply(answer, gateway_.IsStopping());
+}
+
+void Forward::FailWith(unsigned status, const std::string& reason) {
+  Log(EventId::kForwardFailed,
+      "status=" + std::to_string(status) + " reason=" + reason +
+          " sent=" + std::to_string(sent_) +
+          " may_have_run=" + std::to_string(may_have_run_) +
+          " waited_ms=" + std::to_string((gateway_.Now() - arrived_).Ms()));
+  gateway_.Count(route_.kind_, "failed");
+  const bool begun = answer_begun_;
+  End();
+  if (begun) {
+    caller_->BreakOff();
+    return;
+  }
+  WholeAnswer answer;
+  answer.status_ = status;
+  answer.fields_.set(http::field::content_type, "application/json");
+  answer.body_ = VerdictBody(MayHaveRun(Reason::kTargetFailed, reason));
+  caller_->Reply(answer, gateway_.IsStopping());
+}
+
+void Forward::End() {
+  if (ended_) {
+    return;
+  }
+  ended_ = true;
+  if (attempt_) {
+    attempt_->connection_->Cancel();
+    attempt_.reset();
+  }
+  if (work_) {
+    gateway_.Ledger().End(*work_);
+    work_.reset();
+  }
+  ReleaseTickets();
+  gateway_.OnForwardEnded(*this);
+}
+
+void Forward::OnCallerGone() {
+  if (ended_) {
+    return;
+  }
+  Log(EventId::kForwardAbandoned,
+      "sent=" + std::to_string(sent_) +
+          " events=" + std::to_string(events_.Count()) +
+          " waited_ms=" + std::to_string((gateway_.Now() - arrived_).Ms()));
+  gateway_.Count(route_.kind_, "abandoned");
+  End();
+}
+
+void Forward::OnTick(TimePoint now) {
+  if (ended_) {
+    return;
+  }
+  if (now >= limit_) {
+    if (may_have_run_ > 0 || (attempt_ && sent_ > 0)) {
+      constexpr unsigned kGatewayTimeout = 504;
+      FailWith(kGatewayTimeout, "deadline");
+    } else {
+      Refuse(kUnavailable, "deadline", Duration());
+    }
+    return;
+  }
+  RenewTickets(now);
+  CheckProgress(now);
+}
+
+void Forward::Log(EventId id, const std::string& detail) const {
+  Event event;
+  event.id_ = id;
+  event.team_ = TeamId(customer_);
+  if (attempt_) {
+    event.target_ = attempt_->target_;
+  }
+  event.detail_ =
+      "attempt=" + facts_.attempt_ + " route=" + route_.name_ + " " + detail;
+  gateway_.Record(event);
+}
+
+}  // namespace gv
--- /dev/null
+++ b/src/transport/gateway/forward_answer.cc
@@ -0,0 +1,120 @@
+/** @file forward_answer.cc Passes answers on to the caller and watches that
+ * they go on. */
+#include <algorithm>
+
+#include "transport/gateway/forward.h"
+#include "transport/gateway/gateway.h"
+
+namespace gv {
+namespace {
+
+/** Bytes that a caller may leave unread before its target is held back. */
+constexpr size_t kMostUnsent = 256UL << 10;
+/** An engine that goes on with an answer is silent for a few passes at most. */
+constexpr Duration kLeastPause = 1_s;
+constexpr int64_t kPausesOfPatience = 5;
+constexpr int64_t kHalves = 2;
+/** A call that takes twice its objective has probably met a target that
+ * hangs. */
+constexpr int64_t kObjectivesOfCall = 2;
+
+}  // namespace
+
+HttpFields Forward::AnswerFields() const {
+  HttpFields fields = attempt_->fields_;
+  RemoveHopHeaders(fields);
+  return fields;
+}
+
+void Forward::BeginAnswer() {
+  answer_begun_ = true;
+  first_event_ = gateway_.Now();
+  caller_->BeginParts(attempt_->status_, AnswerFields(), gateway_.IsStopping());
+  gateway_.ObserveFirstEvent(route_.kind_, first_event_ - arrived_);
+}
+
+void Forward::PassEvents(const std::string& data) {
+  const std::string events = events_.Add(data);
+  if (!events.empty()) {
+    if (!answer_begun_) {
+      BeginAnswer();
+    }
+    caller_->Part(events);
+  }
+  if (ended_ || !attempt_) {
+    return;
+  }
+  if (events_.HasGap()) {
+    AbandonAttempt("missing-event");
+    return;
+  }
+  if (caller_->Unsent() > kMostUnsent) {
+    attempt_->connection_->SetPaused(true);
+  }
+}
+
+void Forward::FinishAnswer() {
+  if (!attempt_->streams_) {
+    PassWholeAnswer();
+    return;
+  }
+  if (!answer_begun_) {
+    BeginAnswer();
+  }
+  Log(EventId::kForwardFinished,
+      "status=" + std::to_string(attempt_->status_) +
+          " events=" + std::to_string(events_.Count()) +
+          " first_ms=" + std::to_string((first_event_ - arrived_).Ms()) +
+          " total_ms=" + std::to_string((gateway_.Now() - arrived_).Ms()) +
+          " predicted_ms=" + std::to_string(int64_t(attempt_->predicted_ms_)));
+  gateway_.Count(route_.kind_, "finished");
+  const auto connection = std::move(attempt_->connection_);
+  attempt_.reset();
+  End();
+  caller_->EndParts();
+}
+
+void Forward::PassWholeAnswer() {
+  WholeAnswer answer;
+  answer.status_ = attempt_->status_;
+  answer.fields_ = AnswerFields();
+  answer.body_ = std::move(attempt_->body_);
+  Log(EventId::kForwardFinished,
+      "status=" + std::to_string(answer.status_) +
+          " total_ms=" + std::to_string((gateway_.Now() - arrived_).Ms()));
+  gateway_.ObserveFirstEvent(route_.kind_, gateway_.Now() - arrived_);
+  gateway_.Count(route_.kind_, "finished");
+  attempt_.reset();
+  End();
+  caller_->Reply(answer, gateway_.IsStopping());
+}
+
+Duration Forward::Patience() const {
+  if (route_.kind_ == RouteKind::kSafe) {
+    return std::max(route_.objective_ * kObjectivesOfCall, Duration(200));
+  }
+  if (answer_begun_) {
+    return std::max(kLeastPause,
+                    route_.pause_objective_ * kPausesOfPatience / kHalves);
+  }
+  const Duration predicted(static_cast<int64_t>(attempt_->predicted_ms_));
+  return std::max(kLeastPause, route_.objective_) + predicted;
+}
+
+void Forward::CheckProgress(TimePoint now) {
+  if (!attempt_) {
+    return;
+  }
+  if (caller_->Unsent() < kMostUnsent / kHalves) {
+    attempt_->connection_->SetPaused(false);
+  }
+  const bool may_repeat =
+      IsRepeatable(route_.kind_, route_.resumable_) &&
+      MayTryAgain(History(), AttemptEnd{RunState::kMayHaveRun, false});
+  if (may_repeat && caller_->Unsent() < kMostUnsent &&
+      now - attempt_->progress_ > Patience()) {
+    AbandonAttempt("silent");
+  }
+}
+
+}  // namespace gv
--- /dev/null
+++ b/src/transport/gateway/gateway.cc
@@ -0,0 +1,325 @@
+/** @file gateway.cc Start, tick and planned stop of a gateway. */
+#include "transport/gateway/gateway.h"
+
+#include <unistd.h>
+#include <xxhash.h>
+
+#include <boost/outcome/try.hpp>
+#include <csignal>
+#include <iostream>
+
+#include "transport/listen.h"
+#include "transport/process_settings_file.h"
+#include "transport/secret.h"
+#include "transport/steady_clock.h"
+
+namespace gv {
+namespace {
+
+namespace asio = boost::asio;
+
+/** Timeouts are kept to within this time; half a second is allowed. */
+constexpr std::chrono::milliseconds kTickPeriod{50};
+/** The balancer takes a gateway out after two misses, one a second; new
+ * connections may come a little later. */
+constexpr Duration kAnnounce = 4_s;
+/** Kept of the grace time for the exit itself. */
+constexpr Duration kStopMargin = 600_ms;
+constexpr int kExitStartFailed = 1;
+
+RegistrySettings MakeRegistrySettings(const ProcessSettings& settings) {
+  RegistrySettings registry;
+  registry.self_ = NodeId(settings.listen_peers_);
+  std::string own_ip;
+  std::string ip;
+  uint16_t peer_port = 0;
+  uint16_t port = 0;
+  SplitAddress(settings.listen_peers_, own_ip, peer_port);
+  for (const std::string& seed : settings.gateway_seeds_) {
+    if (SplitAddress(seed, ip, port)) {
+      registry.seeds_.emplace_back(ip + ":" + std::to_string(peer_port));
+    }
+  }
+  registry.has_disk_ = !settings.data_folder_.empty();
+  registry.tolerated_losses_ = settings.gateway_tolerated_losses_;
+  registry.revocation_ = Duration(settings.gateway_revocation_ms_);
+  registry.seed_ = XXH3_64bits(settings.listen_peers_.data(),
+                               settings.listen_peers_.size()) +
+                   static_cast<uint64_t>(WallMs());
+  return registry;
+}
+
+}  // namespace
+
+Gateway::Gateway(ProcessSettings settings, std::string settings_file,
+                 const WireCodec& codec)
+    : settings_(std::move(settings)),
+      settings_file_(std::move(settings_file)),
+      codec_(codec),
+      io_(1),
+      self_(settings_.listen_peers_),
+      log_(STDOUT_FILENO, settings_.node_),
+      registry_(MakeRegistrySettings(settings_)),
+      placer_(DataCentreId(settings_.data_centre_), registry_.Targets(),
+              ledger_, health_),
+      pool_(io_),
+      reopen_disk_(TimePoint::Never()),
+      acceptor_(io_),
+      readiness_(
+          io_,
+          [this](const HttpRequest& request, const HttpService::Respond& done) {
+            OnReadiness(request, done);
+          }),
+      control_(io_,
+               [this](const HttpRequest& request, HttpService::Respond done) {
+                 OnControl(request, std::move(done));
+               }),
+      metrics_(io_,
+               [this](const HttpRequest& /*request*/,
+                      const HttpService::Respond& done) {
+                 done(MakeReply(200, "text/plain", MetricsText()));
+               }),
+      tick_(io_),
+      signals_(io_, SIGTERM, SIGINT, SIGHUP),
+      events_(prometheus::BuildCounter()
+                  .Name("gooseberryvale_events_total")
+                  .Help("Events by name")
+                  .Register(metrics_registry_)),
+      requests_(prometheus::BuildCounter()
+                    .Name("gooseberryvale_requests_total")
+                    .Help("Ended requests by kind and outcome")
+                    .Register(metrics_registry_)),
+      first_events_(prometheus::BuildHistogram()
+                        .Name("gooseberryvale_first_event_ms")
+                        .Help("Time to the first event or the answer")
+                        .Register(metrics_registry_)) {}
+
+Gateway::~Gateway() = default;
+
+TimePoint Gateway::Now() const { return BootNow(); }
+
+Result<void> Gateway::Open() {
+  BOOST_OUTCOME_TRY(const auto key, ReadKeyFile(settings_.key_file_));
+  peers_ = std::make_unique<PeerNetwork>(
+      io_, PeerIdentity{self_, settings_.cluster_, key},
+      [this](Envelope envelope) { OnPeerEnvelope(std::move(envelope)); });
+  if (!settings_.data_folder_.empty()) {
+    const Result<void> opened = OpenDisk();
+    if (!opened.has_value()) {
+      std::cerr << opened.error().detail_ << "\n";
+      reopen_disk_ = Now() + 1_s;
+    }
+  }
+  BOOST_OUTCOME_TRY(peers_->Listen(settings_.listen_peers_));
+  return OpenListeners();
+}
+
+Result<void> Gateway::OpenListeners() {
+  BOOST_OUTCOME_TRY(readiness_.Listen(settings_.listen_readiness_));
+  BOOST_OUTCOME_TRY(control_.Listen(settings_.listen_control_));
+  if (!settings_.listen_metrics_.empty()) {
+    BOOST_OUTCOME_TRY(metrics_.Listen(settings_.listen_metrics_));
+  }
+  BOOST_OUTCOME_TRY(OpenAcceptor(acceptor_, settings_.listen_callers_));
+  AcceptCallers();
+  return boost::outcome_v2::success();
+}
+
+void Gateway::AcceptCallers() {
+  acceptor_.async_accept(
+      [this](boost::system::error_code error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted || !acceptor_.is_open()) {
+          return;
+        }
+        if (!error) {
+          OnCaller(std::move(socket));
+        }
+        AcceptCallers();
+      });
+}
+
+void Gateway::OnCaller(asio::ip::tcp::socket socket) {
+  const uint64_t id = ++last_caller_;
+  const GatewayBounds bounds =
+      table_ ? table_->Configuration().bounds_ : GatewayBounds();
+  auto caller =
+      std::make_shared<GatewayCaller>(std::move(socket), bounds, Now());
+  callers_[id] = caller;
+  auto current = std::make_shared<std::weak_ptr<Forward>>();
+  std::weak_ptr<GatewayCaller> weak = caller;
+  caller->Start(GatewayCallerHooks{
+      [this, weak, current](CallerRequestMessage request) {
+        auto connection = weak.lock();
+        connection->SetNow(Now());
+        auto forward =
+            std::make_shared<Forward>(*this, connection, std::move(request));
+        forwards_[forward.get()] = forward;
+        *current = forward;
+        forward->Start();
+      },
+      [current]() {
+        if (auto forward = current->lock()) {
+          forward->OnCallerGone();
+        }
+      },
+      [this, id]() { callers_.erase(id); }});
+}
+
+void Gateway::OnForwardEnded(const Forward& forward) {
+  forwards_.erase(&forward);
+}
+
+void Gateway::ScheduleTick() {
+  tick_.expires_after(kTickPeriod);
+  tick_.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      OnTick();
+      ScheduleTick();
+    }
+  });
+}
+
+void Gateway::OnTick() {
+  const TimePoint now = Now();
+  Step(
+      Envelope{{self_, Port::kTransport}, {self_, Port::kControl}, {}, Tick{}});
+  TickRequests(now);
+  TickOrders(now);
+  ShareLoad(now);
+  NoteDependencies(now);
+  if (now >= reopen_disk_) {
+    ReopenDisk();
+  }
+  if (now >= next_silence_) {
+    constexpr Duration kSilencePeriod = 500_ms;
+    /** Polls and their answers pass every 400 ms. */
+    constexpr Duration kPeerSilence = 1500_ms;
+    next_silence_ = now + kSilencePeriod;
+    peers_->DropSilent(kPeerSilence);
+    pool_.OnTick(now);
+    ledger_.ForgetRemote(now, 2_s);
+    std::vector<std::shared_ptr<GatewayCaller>> callers;
+    for (const auto& [id, caller] : callers_) {
+      callers.push_back(caller);
+    }
+    for (const auto& caller : callers) {
+      caller->OnTick(now);
+    }
+  }
+  log_.Flush(now);
+  CheckStop(now);
+}
+
+void Gateway::TickRequests(TimePoint now) {
+  std::vector<std::shared_ptr<Forward>> forwards;
+  forwards.reserve(forwards_.size());
+  for (const auto& [key, forward] : forwards_) {
+    forwards.push_back(forward);
+  }
+  for (const auto& forward : forwards) {
+    forward->OnTick(now);
+  }
+}
+
+bool Gateway::IsReady() const {
+  return !stopping_ && table_ && registry_.HasLease(Now());
+}
+
+void Gateway::NoteDependencies(TimePoint now) {
+  const bool has = registry_.HasLease(now);
+  if (has == had_lease_) {
+    return;
+  }
+  had_lease_ = has;
+  Event event;
+  event.id_ = has ? EventId::kDependencyRegained : EventId::kDependencyLost;
+  event.detail_ = "lease leader=" + registry_.Leader().Value();
+  Record(event);
+}
+
+void Gateway::WaitForSignals() {
+  signals_.async_wait([this](boost::system::error_code error, int number) {
+    if (error) {
+      return;
+    }
+    if (number == SIGHUP) {
+      const auto read = LoadProcessSettings(settings_file_);
+      Event event;
+      event.id_ = EventId::kSettingsReloaded;
+      event.detail_ = read.has_value()
+                          ? "seeds and bounds apply from the next start"
+                          : read.error().detail_;
+      Record(event);
+    } else {
+      BeginStop();
+    }
+    WaitForSignals();
+  });
+}
+
+void Gateway::BeginStop() {
+  if (stopping_) {
+    return;
+  }
+  stopping_ = true;
+  stop_begun_ = Now();
+  Event event;
+  event.id_ = EventId::kProcessStopping;
+  event.detail_ = "requests=" + std::to_string(forwards_.size()) +
+                  " connections=" + std::to_string(callers_.size());
+  Record(event);
+}
+
+void Gateway::CheckStop(TimePoint now) {
+  if (!stopping_) {
+    return;
+  }
+  const Duration spent = now - stop_begun_;
+  const Duration grace(settings_.gateway_grace_ms_);
+  const bool quiet = spent > kAnnounce && forwards_.empty();
+  if (quiet || spent > grace - kStopMargin) {
+    Event event;
+    event.id_ = EventId::kProcessStopped;
+    event.detail_ = "requests=" + std::to_string(forwards_.size()) +
+                    " after_ms=" + std::to_string(spent.Ms());
+    Record(event);
+    log_.Flush(now);
+    io_.stop();
+  }
+}
+
+void Gateway::Run() {
+  Event event;
+  event.id_ = EventId::kProcessStarted;
+  event.detail_ = "roles=gateway self=" + self_.Value() +
+                  " disk=" + (disk_ ? "yes" : "no") +
+                  " seeds=" + std::to_string(settings_.gateway_seeds_.size());
+  Record(event);
+  log_.Flush(Now());
+  WaitForSignals();
+  ScheduleTick();
+  io_.run();
+  pool_.Close();
+  peers_->Close();
+  disk_.reset();
+}
+
+int RunGateway(const ProcessSettings& settings,
+               const std::string& settings_file) {
+  const WireCodec* codec = GetWireCodec();
+  if (codec == nullptr) {
+    std::cerr << settings_file
+              << ": roles: this binary has no wire codec for gateways\n";
+    return kExitStartFailed;
+  }
+  Gateway gateway(settings, settings_file, *codec);
+  const Result<void> opened = gateway.Open();
+  if (!opened.has_value()) {
+    std::cerr << settings_file << ": " << opened.error().detail_ << "\n";
+    return kExitStartFailed;
+  }
+  gateway.Run();
+  return 0;
+}
+
+}  // namespace gv
--- /dev/null
+++ b/src/transport/gateway/gateway.h
@@ -0,0 +1,195 @@
+/** @file gateway.h The process of a gateway: listeners, registry, targets and
+ * all requests in progress. */
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "coordination/gateway/load_ledger.h"
+#include "coordination/gateway/placement.h"
+#include "coordination/gateway/registry_core.h"
+#include "coordination/gateway/retry_window.h"
+#include "coordination/gateway/routing_table.h"
+#include "coordination/gateway/target_health.h"
+#include "state/process_settings.h"
+#include "transport/file_disk.h"
+#include "transport/gateway/forward.h"
+#include "transport/gateway/http_service.h"
+#include "transport/gateway/line_log.h"
+#include "transport/gateway/target_pool.h"
+#include "transport/gateway/wire_codec.h"
+#include "transport/peer_network.h"
+
+namespace gv {
+
+/**
+ * Joins the pure cores with sockets, disk and clock. One thread runs
+ * everything but the disk. Thread safety: Open and Run on one thread.
+ */
+class Gateway {
+ public:
+  /** @param codec Outlives the gateway. */
+  Gateway(ProcessSettings settings, std::string settings_file,
+          const WireCodec& codec);
+  ~Gateway();
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
+
+  /** Opens disk and listeners. @return Nothing, or what could not be opened. */
+  Result<void> Open();
+  /** Runs until a planned stop is complete. */
+  void Run();
+
+  // For requests in progress.
+  TimePoint Now() const;
+  const WireCodec& Codec() const { return codec_; }
+  const RegistryCore& Registry() const { return registry_; }
+  /** @return The routes to serve, or nullptr before the first configuration. */
+  const RoutingTable* Table() const { return table_ ? &*table_ : nullptr; }
+  const Placer& GetPlacer() const { return placer_; }
+  LoadLedger& Ledger() { return ledger_; }
+  TargetPool& Pool() { return pool_; }
+  RetryWindow& Retries(const std::string& service);
+  bool IsStopping() const { return stopping_; }
+  /** Takes in what an attempt says of a target's health. */
+  void OnOutcome(const TargetId& target, HealthOutcome outcome);
+  /** Forgets a request. */
+  void OnForwardEnded(const Forward& forward);
+  void Record(const Event& event);
+  /** Counts an ended request. */
+  void Count(RouteKind kind, const char* outcome);
+  /** Adds to the histogram of times to the first event. */
+  void ObserveFirstEvent(RouteKind kind, Duration time);
+  /** Posts an order to a target. @param done Gets its status, or 0. */
+  void SendOrder(const std::string& address, const TargetOrder& order,
+                 std::function<void(unsigned)> done);
+  /** Ends a reservation; tried again a few times. */
+  void ReleaseTicket(const std::string& address, const std::string& ticket);
+
+ private:
+  /** An order on its way. */
+  struct OpenOrder {
+    std::shared_ptr<TargetConnection> connection_;  ///< Where.
+    TimePoint until_;                               ///< When it is given up.
+    std::function<void(unsigned)> done_;            ///< Gets the status.
+    unsigned status_ = 0;                           ///< Of the answer.
+    std::optional<Duration> keep_alive_;            ///< Of the connection.
+  };
+  /** A reservation that may still stand. */
+  struct OpenRelease {
+    std::string address_;  ///< Of the target.
+    std::string ticket_;   ///< Its name.
+    int tries_ = 0;        ///< Sent so far.
+    TimePoint next_;       ///< When to send again.
+  };
+
+  // gateway.cc: start, tick, stop.
+  Result<void> OpenDisk();
+  Result<void> OpenListeners();
+  void AcceptCallers();
+  void OnCaller(boost::asio::ip::tcp::socket socket);
+  void ScheduleTick();
+  void OnTick();
+  void TickRequests(TimePoint now);
+  void WaitForSignals();
+  void BeginStop();
+  void CheckStop(TimePoint now);
+  bool IsReady() const;
+  void NoteDependencies(TimePoint now);
+
+  // gateway_registry.cc: the registry's messages, disk and configurations.
+  void Step(const Envelope& in);
+  void CarryOut(Outbox& out);
+  void OnPeerEnvelope(Envelope envelope);
+  void OnDiskMessage(Message message);
+  void ReopenDisk();
+  void TakeServed();
+  void FinishOperations();
+  void ShareLoad(TimePoint now);
+
+  // gateway_calls.cc: readiness, metrics, targets, operators.
+  void OnReadiness(const HttpRequest& request,
+                   const HttpService::Respond& done);
+  void OnControl(const HttpRequest& request, HttpService::Respond done);
+  void OnRegister(const std::string& id, const HttpRequest& request,
+                  const HttpService::Respond& done);
+  void OnDepart(const std::string& id, const HttpService::Respond& done);
+  void OnPutConfiguration(const HttpRequest& request,
+                          HttpService::Respond done);
+  void OnGetConfiguration(HttpService::Respond done);
+  std::string MetricsText();
+
+  // gateway_orders.cc: orders to targets.
+  void FinishOrder(uint64_t id);
+  void TickOrders(TimePoint now);
+
+  ProcessSettings settings_;           ///< Of this process.
+  std::string settings_file_;          ///< Read again on SIGHUP.
+  const WireCodec& codec_;             ///< Of the surroundings.
+  boost::asio::io_context io_;         ///< Runs everything.
+  NodeId self_;                        ///< Address for peers.
+  LineLog log_;                        ///< Standard output.
+  RegistryCore registry_;              ///< What all gateways share.
+  LoadLedger ledger_;                  ///< Work at targets.
+  TargetHealth health_;                ///< Failures of targets.
+  Placer placer_;                      ///< Chooses targets.
+  TargetPool pool_;                    ///< Connections to targets.
+  std::optional<RoutingTable> table_;  ///< Of the served configuration.
+  uint64_t table_version_ = 0;         ///< Of table_.
+  std::map<std::string, RetryWindow> retries_;  ///< By service.
+  std::unique_ptr<PeerNetwork> peers_;          ///< Other gateways.
+  std::unique_ptr<FileDisk> disk_;              ///< Of the replica, or null.
+  uint64_t disk_number_ = 0;  ///< Counts openings of the disk.
+  TimePoint reopen_disk_;     ///< When to try again; Never if open.
+
+  boost::asio::ip::tcp::acceptor acceptor_;  ///< For callers.
+  HttpService readiness_;                    ///< For the balancer.
+  HttpService control_;                      ///< For targets and operators.
+  HttpService metrics_;                      ///< For monitoring.
+  boost::asio::steady_timer tick_;           ///< Drives everything timed.
+  boost::asio::signal_set signals_;          ///< SIGTERM, SIGINT, SIGHUP.
+
+  uint64_t last_caller_ = 0;  ///< For ids of connections.
+  std::unordered_map<uint64_t, std::shared_ptr<GatewayCaller>>
+      callers_;  ///< Open connections.
+  std::unordered_map<const Forward*, std::shared_ptr<Forward>>
+      forwards_;  ///< Requests in progress.
+  std::map<OperationId, std::function<void(const OperationEnd&)>>
+      operations_;                        ///< Operators' calls that wait.
+  uint64_t last_order_ = 0;               ///< For ids of orders.
+  std::map<uint64_t, OpenOrder> orders_;  ///< On their way.
+  std::vector<OpenRelease> releases_;     ///< To be sent again.
+
+  bool stopping_ = false;         ///< A planned stop has begun.
+  TimePoint stop_begun_;          ///< When.
+  bool had_lease_ = false;        ///< For log lines.
+  TimePoint next_load_;           ///< When to report the load.
+  TimePoint next_silence_;        ///< When to look for silent peers.
+  bool load_sent_empty_ = false;  ///< The last report had no work.
+
+  prometheus::Registry metrics_registry_;              ///< All metrics.
+  prometheus::Family<prometheus::Counter>& events_;    ///< By event.
+  prometheus::Family<prometheus::Counter>& requests_;  ///< By kind, outcome.
+  prometheus::Family<prometheus::Histogram>& first_events_;  ///< By kind.
+};
+
+/** Removes the headers that concern one connection only. Thread safety: pure.
+ */
+void RemoveHopHeaders(HttpFields& fields);
+
+/** Runs a gateway until it is stopped. @return Exit code. */
+int RunGateway(const ProcessSettings& settings,
+               const std::string& settings_file);
+
+}  // namespace gv
--- /dev/null
+++ b/src/transport/gateway/gateway_calls.cc
@@ -0,0 +1,198 @@
+/** @file gateway_calls.cc Answers the balancer, targets and operators. */
+#include <prometheus/text_serializer.h>
+
+#include "state/enum_names.h"
+#include "state/event_func.h"
+#include "transport/gateway/gateway.h"
+
+namespace gv {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kUnavailable = 503;
+
+HttpReply JsonReply(unsigned status, std::string body) {
+  return MakeReply(status, "application/json", std::move(body));
+}
+
+/** Buckets of the histogram of first events, in milliseconds; around the
+ * objectives that users set. */
+const prometheus::Histogram::BucketBoundaries kFirstEventBuckets{
+    20, 50, 100, 200, 300, 500, 1000, 1500, 2000, 3000, 4000, 6000, 10000};
+
+}  // namespace
+
+void Gateway::OnReadiness(const HttpRequest& request,
+                          const HttpService::Respond& done) {
+  const auto path = request.target();
+  if (std::string_view(path.data(), path.size()) != codec_.readiness_path_) {
+    done(MakeReply(kNotFound, "text/plain", "not found\n"));
+    return;
+  }
+  done(IsReady() ? MakeReply(kOk, "text/plain", "ready\n")
+                 : MakeReply(kUnavailable, "text/plain", "not ready\n"));
+}
+
+void Gateway::OnControl(const HttpRequest& request, HttpService::Respond done) {
+  const auto method = request.method_string();
+  const auto path = request.target();
+  const ControlRequest call = codec_.read_control_(
+      {method.data(), method.size()}, {path.data(), path.size()});
+  switch (call.call_) {
+    case ControlCall::kRegister:
+      OnRegister(call.id_, request, done);
+      return;
+    case ControlCall::kDepart:
+      OnDepart(call.id_, done);
+      return;
+    case ControlCall::kPutConfiguration:
+      OnPutConfiguration(request, std::move(done));
+      return;
+    case ControlCall::kGetConfiguration:
+      OnGetConfiguration(std::move(done));
+      return;
+    case ControlCall::kUnknown:
+      done(JsonReply(kNotFound, "{}"));
+      return;
+  }
+}
+
+void Gateway::OnRegister(const std::string& id, const HttpRequest& request,
+                         const HttpService::Respond& done) {
+  const auto target = codec_.decode_registration_(id, request.body());
+  if (!target.has_value()) {
+    Event event;
+    event.id_ = EventId::kBadInput;
+    event.target_ = TargetId(id);
+    event.detail_ = target.error().detail_;
+    Record(event);
+    done(JsonReply(kBadRequest, "{}"));
+    return;
+  }
+  if (!registry_.InTouch(Now())) {
+    done(JsonReply(kUnavailable, "{}"));
+    return;
+  }
+  Outbox out(Endpoint{self_, Port::kControl});
+  registry_.Announce(Now(), target.value(), out);
+  CarryOut(out);
+  done(JsonReply(kOk, "{}"));
+}
+
+void Gateway::OnDepart(const std::string& id,
+                       const HttpService::Respond& done) {
+  if (!registry_.InTouch(Now())) {
+    done(JsonReply(kUnavailable, "{}"));
+    return;
+  }
+  Outbox out(Endpoint{self_, Port::kControl});
+  registry_.Depart(Now(), TargetId(id), out);
+  CarryOut(out);
+  done(JsonReply(kOk, "{}"));
+}
+
+void Gateway::OnPutConfiguration(const HttpRequest& request,
+                                 HttpService::Respond done) {
+  auto configuration = codec_.decode_configuration_(request.body());
+  Event event;
+  event.id_ = EventId::kConfigurationRefused;
+  if (!configuration.has_value()) {
+    event.detail_ = configuration.error().detail_;
+    Record(event);
+    done(JsonReply(kBadRequest, "{}"));
+    return;
+  }
+  const uint64_t version = configuration.value().version_;
+  event.revision_ = Revision(version);
+  const auto table = RoutingTable::Build(std::move(configuration.value()));
+  if (!table.has_value()) {
+    event.detail_ = table.error().detail_;
+    Record(event);
+    done(JsonReply(kBadRequest, "{}"));
+    return;
+  }
+  Outbox out(Endpoint{self_, Port::kControl});
+  const OperationId id =
+      registry_.SubmitChange(Now(), version, request.body(), out);
+  operations_[id] = [this, version,
+                     done = std::move(done)](const OperationEnd& end) {
+    const bool accepted = end.state_ == OperationState::kAccepted;
+    if (accepted) {
+      Event accepted_event;
+      accepted_event.id_ = EventId::kConfigurationAccepted;
+      accepted_event.revision_ = Revision(version);
+      Record(accepted_event);
+    }
+    done(JsonReply(accepted ? kOk : kUnavailable, "{}"));
+  };
+  CarryOut(out);
+}
+
+void Gateway::OnGetConfiguration(HttpService::Respond done) {
+  Outbox out(Endpoint{self_, Port::kControl});
+  const OperationId id = registry_.ConfirmVersion(Now(), out);
+  operations_[id] = [this, done = std::move(done)](const OperationEnd& end) {
+    const ConfigurationStore& served = registry_.Served();
+    const bool known = end.state_ == OperationState::kConfirmed &&
+                       served.Version() >= end.version_ && served.Version() > 0;
+    done(known ? JsonReply(kOk, served.Text()) : JsonReply(kUnavailable, "{}"));
+  };
+  CarryOut(out);
+}
+
+std::string Gateway::MetricsText() {
+  auto& gauges = prometheus::BuildGauge()
+                     .Name("gooseberryvale_state")
+                     .Help("What the gateway knows now")
+                     .Register(metrics_registry_);
+  const auto set = [&gauges](const char* name, double value) {
+    gauges.Add({{"what", name}}).Set(value);
+  };
+  set("requests", static_cast<double>(forwards_.size()));
+  set("callers", static_cast<double>(callers_.size()));
+  set("target_connections", static_cast<double>(pool_.OpenCount()));
+  set("target_connections_opened", static_cast<double>(pool_.Opened()));
+  set("targets", static_cast<double>(registry_.Targets().All().size()));
+  set("gateways", static_cast<double>(registry_.NodeCount()));
+  set("configuration", static_cast<double>(registry_.Served().Version()));
+  set("lease", registry_.HasLease(Now()) ? 1 : 0);
+  set("log_lines_dropped", static_cast<double>(log_.Dropped()));
+  return prometheus::TextSerializer().Serialize(metrics_registry_.Collect());
+}
+
+void Gateway::Record(const Event& event) {
+  log_.Write(Now(), event);
+  events_.Add({{"event", std::string(EventName(event.id_))}}).Increment();
+}
+
+void Gateway::Count(RouteKind kind, const char* outcome) {
+  requests_
+      .Add({{"kind", std::string(NameOf(kRouteKindNames, kind))},
+            {"outcome", outcome}})
+      .Increment();
+}
+
+void Gateway::ObserveFirstEvent(RouteKind kind, Duration time) {
+  first_events_
+      .Add({{"kind", std::string(NameOf(kRouteKindNames, kind))}},
+           kFirstEventBuckets)
+      .Observe(static_cast<double>(time.Ms()));
+}
+
+void Gateway::OnOutcome(const TargetId& target, HealthOutcome outcome) {
+  if (!health_.OnOutcome(Now(), target, outcome)) {
+    return;
+  }
+  Event event;
+  const bool suspected = health_.IsSuspected(Now(), target);
+  event.id_ = suspected ? EventId::kTargetSuspected : EventId::kTargetTrusted;
+  event.target_ = target;
+  event.detail_ = "failure_rate=" + std::to_string(health_.FailureRate(target));
+  Record(event);
+}
+
+}  // namespace gv
--- /dev/null
+++ b/src/transport/gateway/gateway_orders.cc
@@ -0,0 +1,106 @@
+/** @file gateway_orders.cc Posts orders to targets, and releases reservations
+ * until the target has said that they are gone. */
+#include "transport/gateway/gateway.h"
+
+namespace gv {
+namespace {
+
+constexpr Duration kOrderTimeout = 500_ms;
+constexpr Duration kOrderIdle = 5_s;
+constexpr Duration kReleaseRetry = 400_ms;
+constexpr int kMostReleases = 4;
+constexpr Duration kDefaultKeepAlive = 5_s;
+
+std::string OrderText(const std::string& address, const TargetOrder& order) {
+  return "POST " + order.path_ + " HTTP/1.1\r\nHost: " + address +
+         "\r\nContent-Type: application/json\r\nContent-Length: " +
+         std::to_string(order.body_.size()) + "\r\n\r\n" + order.body_;
+}
+
+}  // namespace
+
+void Gateway::SendOrder(const std::string& address, const TargetOrder& order,
+                        std::function<void(unsigned)> done) {
+  const uint64_t id = ++last_order_;
+  OpenOrder open;
+  open.connection_ = pool_.Acquire(Now(), address, kOrderIdle);
+  open.until_ = Now() + kOrderTimeout;
+  open.done_ = std::move(done);
+  const auto connection = open.connection_;
+  orders_.emplace(id, std::move(open));
+  connection->Start(
+      OrderText(address, order), false,
+      ExchangeHandler{[this, id](unsigned status, const HttpFields& fields) {
+                        const auto found = orders_.find(id);
+                        if (found != orders_.end()) {
+                          found->second.status_ = status;
+                          found->second.keep_alive_ =
+                              codec_.read_answer_(status, fields).keep_alive_;
+                        }
+                      },
+                      [](const std::string& /*data*/) {},
+                      [this, id](ExchangeEnd end) {
+                        const auto found = orders_.find(id);
+                        if (found == orders_.end()) {
+                          return;
+                        }
+                        if (end != ExchangeEnd::kComplete) {
+                          found->second.status_ = 0;
+                        }
+                        FinishOrder(id);
+                      }});
+}
+
+void Gateway::FinishOrder(uint64_t id) {
+  const auto found = orders_.find(id);
+  const OpenOrder order = std::move(found->second);
+  orders_.erase(found);
+  pool_.Release(Now(), order.connection_,
+                order.keep_alive_.value_or(kDefaultKeepAlive));
+  order.done_(order.status_);
+}
+
+void Gateway::ReleaseTicket(const std::string& address,
+                            const std::string& ticket) {
+  releases_.push_back(OpenRelease{address, ticket, 0, Now()});
+  TickOrders(Now());
+}
+
+void Gateway::TickOrders(TimePoint now) {
+  std::vector<uint64_t> late;
+  for (const auto& [id, order] : orders_) {
+    if (now >= order.until_) {
+      late.push_back(id);
+    }
+  }
+  for (const uint64_t id : late) {
+    const auto found = orders_.find(id);
+    found->second.connection_->Cancel();
+    found->second.status_ = 0;
+    FinishOrder(id);
+  }
+  std::erase_if(releases_, [](const OpenRelease& release) {
+    return release.tries_ >= kMostReleases;
+  });
+  for (size_t i = 0; i < releases_.size(); ++i) {
+    OpenRelease& release = releases_[i];
+    if (now < release.next_) {
+      continue;
+    }
+    ++release.tries_;
+    release.next_ = now + kReleaseRetry;
+    const std::string address = release.address_;
+    const std::string ticket = release.ticket_;
+    SendOrder(address, codec_.encode_release_(ticket),
+              [this, address, ticket](unsigned status) {
+                if (status == 0) {
+                  return;
+                }
+                std::erase_if(releases_, [&](const OpenRelease& open) {
+                  return open.address_ == address && open.ticket_ == ticket;
+                });
+              });
+  }
+}
+
+}  // namespace gv
--- /dev/null
+++ b/src/transport/gateway/gateway_registry.cc
@@ -0,0 +1,202 @@
+/** @file gateway_registry.cc Feeds the registry core and carries out its
+ * actions. */
+#include <boost/asio/post.hpp>
+#include <boost/outcome/try.hpp>
+#include <iostream>
+
+#include "transport/gateway/gateway.h"
+#include "transport/steady_clock.h"
+
+namespace gv {
+namespace {
+
+namespace asio = boost::asio;
+
+/** Settings of the replica: a leader is missed after about a second, which
+ * leaves two more for an election within the bound of three seconds. */
+constexpr Duration kHeartbeat = 100_ms;
+constexpr Duration kLeaderLease = 600_ms;
+constexpr Duration kElectionMin = 800_ms;
+constexpr Duration kElectionMax = 1500_ms;
+constexpr uint64_t kSnapshotEntries = 512;
+constexpr uint64_t kTailEntries = 16;
+constexpr uint64_t kMostUncommitted = 64;
+constexpr Duration kReopenDelay = 700_ms;
+/** Each gateway reports its load this often for each gateway there is, so that
+ * the messages of a large fleet stay few. */
+constexpr Duration kLoadPeriodPerNode(15);
+constexpr Duration kLoadPeriod = 100_ms;
+
+}  // namespace
+
+Result<void> Gateway::OpenDisk() {
+  ReplicaSettings replica;
+  replica.self_ = self_;
+  bool is_seed = false;
+  std::string ip;
+  std::string own_ip;
+  uint16_t port = 0;
+  uint16_t peer_port = 0;
+  SplitAddress(settings_.listen_peers_, own_ip, peer_port);
+  for (const std::string& seed : settings_.gateway_seeds_) {
+    if (SplitAddress(seed, ip, port)) {
+      replica.initial_members_.emplace_back(ip + ":" +
+                                            std::to_string(peer_port));
+      is_seed = is_seed || ip == own_ip;
+    }
+  }
+  BOOST_OUTCOME_TRY(auto loaded,
+                    FileDisk::Open(settings_.data_folder_, settings_.cluster_,
+                                   self_, settings_.bootstrap_ && is_seed));
+  replica.seed_ =
+      std::hash<std::string>()(self_.Value()) + static_cast<uint64_t>(WallMs());
+  replica.heartbeat_ = kHeartbeat;
+  replica.lease_ = kLeaderLease;
+  replica.election_min_ = kElectionMin;
+  replica.election_max_ = kElectionMax;
+  replica.snapshot_entries_ = kSnapshotEntries;
+  replica.tail_entries_ = kTailEntries;
+  replica.uncommitted_entries_ = kMostUncommitted;
+  disk_ = std::move(loaded.disk_);
+  registry_.AttachReplica(
+      ReplicaCore(std::move(replica), std::move(loaded.replica_)));
+  const uint64_t number = ++disk_number_;
+  disk_->Start([this, number](Message message) {
+    asio::post(io_, [this, number, message = std::move(message)]() mutable {
+      if (number == disk_number_) {
+        OnDiskMessage(std::move(message));
+      }
+    });
+  });
+  return boost::outcome_v2::success();
+}
+
+void Gateway::OnDiskMessage(Message message) {
+  const bool failed = std::holds_alternative<DiskFailed>(message);
+  Step(Envelope{
+      {self_, Port::kDisk}, {self_, Port::kControl}, {}, std::move(message)});
+  if (failed) {
+    registry_.DetachReplica();
+    ++disk_number_;
+    reopen_disk_ = Now() + kReopenDelay;
+    Event event;
+    event.id_ = EventId::kDependencyLost;
+    event.detail_ = "disk";
+    Record(event);
+  }
+}
+
+void Gateway::ReopenDisk() {
+  disk_.reset();
+  const Result<void> opened = OpenDisk();
+  reopen_disk_ = opened.has_value() ? TimePoint::Never() : Now() + kReopenDelay;
+  Event event;
+  event.id_ = opened.has_value() ? EventId::kDependencyRegained
+                                 : EventId::kDependencyLost;
+  event.detail_ = opened.has_value() ? "disk" : opened.error().detail_;
+  Record(event);
+}
+
+void Gateway::OnPeerEnvelope(Envelope envelope) {
+  if (const auto* load = std::get_if<GatewayLoad>(&envelope.body_)) {
+    ledger_.SetRemote(Now(), envelope.from_.node_, *load);
+    return;
+  }
+  Step(envelope);
+}
+
+void Gateway::Step(const Envelope& in) {
+  Outbox out(Endpoint{self_, Port::kControl});
+  registry_.OnMessage(Now(), in, out);
+  CarryOut(out);
+}
+
+void Gateway::CarryOut(Outbox& out) {
+  for (Event& event : out.TakeEvents()) {
+    Record(event);
+  }
+  for (Envelope& envelope : out.TakeSent()) {
+    if (envelope.to_.port_ == Port::kDisk) {
+      if (disk_) {
+        disk_->Submit(std::move(envelope));
+      }
+    } else if (envelope.to_.node_ == self_) {
+      asio::post(io_,
+                 [this, envelope = std::move(envelope)]() { Step(envelope); });
+    } else {
+      peers_->SetAddress(envelope.to_.node_, envelope.to_.node_.Value());
+      peers_->Send(std::move(envelope));
+    }
+  }
+  TakeServed();
+  FinishOperations();
+}
+
+void Gateway::TakeServed() {
+  const ConfigurationStore& served = registry_.Served();
+  if (served.Version() == table_version_) {
+    return;
+  }
+  table_version_ = served.Version();
+  auto configuration = codec_.decode_configuration_(served.Text());
+  if (!configuration.has_value()) {
+    Event event;
+    event.id_ = EventId::kBadInput;
+    event.detail_ = configuration.error().detail_;
+    Record(event);
+    return;
+  }
+  auto table = RoutingTable::Build(std::move(configuration.value()));
+  if (!table.has_value()) {
+    Event event;
+    event.id_ = EventId::kBadInput;
+    event.detail_ = table.error().detail_;
+    Record(event);
+    return;
+  }
+  table_ = std::move(table.value());
+}
+
+void Gateway::FinishOperations() {
+  for (const OperationEnd& end : registry_.TakeEnds()) {
+    const auto found = operations_.find(end.operation_);
+    if (found != operations_.end()) {
+      const auto done = std::move(found->second);
+      operations_.erase(found);
+      done(end);
+    }
+  }
+}
+
+void Gateway::ShareLoad(TimePoint now) {
+  if (now < next_load_) {
+    return;
+  }
+  const auto nodes = static_cast<int64_t>(registry_.NodeCount());
+  next_load_ = now + std::max(kLoadPeriod, kLoadPeriodPerNode * nodes);
+  GatewayLoad load = ledger_.Own(now);
+  const bool empty = load.rows_.empty();
+  if (empty && load_sent_empty_) {
+    return;
+  }
+  load_sent_empty_ = empty;
+  for (const NodeId& node : registry_.OtherNodes()) {
+    peers_->SetAddress(node, node.Value());
+    peers_->Send(
+        Envelope{{self_, Port::kControl}, {node, Port::kControl}, {}, load});
+  }
+}
+
+RetryWindow& Gateway::Retries(const std::string& service) {
+  const auto found = retries_.find(service);
+  if (found != retries_.end()) {
+    return found->second;
+  }
+  RetryBounds bounds;
+  bounds.ratio_ = settings_.gateway_retry_ratio_;
+  bounds.window_ = Duration(settings_.gateway_retry_window_ms_);
+  bounds.slack_ = settings_.gateway_retry_slack_;
+  return retries_.emplace(service, RetryWindow(bounds)).first->second;
+}
+
+}  // namespace gv
--- /dev/null
+++ b/src/transport/gateway/target_connection.cc
@@ -0,0 +1,255 @@
+/** @file target_connection.cc Writes a request and parses its answer. */
+#include "transport/gateway/target_connection.h"
+
+#include <boost/asio/write.hpp>
+
+#include "state/process_settings.h"
+
+namespace gv {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr uint32_t kMostHeaderBytes = 64U << 10;
+constexpr unsigned kInformational = 100;
+constexpr unsigned kSuccess = 200;
+
+}  // namespace
+
+TargetConnection::TargetConnection(
+    asio::io_context& io, std::string address,
+    std::function<void(TargetConnection&)> closed)
+    : socket_(io),
+      address_(std::move(address)),
+      on_closed_(std::move(closed)) {}
+
+void TargetConnection::Open(TimePoint now) {
+  opened_ = now;
+  std::string ip;
+  uint16_t port = 0;
+  boost::system::error_code bad;
+  SplitAddress(address_, ip, port);
+  const auto host = asio::ip::make_address(ip, bad);
+  if (bad) {
+    asio::post(socket_.get_executor(),
+               [self = shared_from_this()]() { self->Close(); });
+    return;
+  }
+  socket_.async_connect(
+      asio::ip::tcp::endpoint(host, port),
+      [self = shared_from_this()](boost::system::error_code error) {
+        if (self->closed_) {
+          return;
+        }
+        if (error) {
+          self->Close();
+          return;
+        }
+        self->socket_.set_option(asio::ip::tcp::no_delay(true), error);
+        self->connected_ = true;
+        self->Read();
+        self->Write();
+      });
+}
+
+void TargetConnection::Start(std::string request, bool is_head,
+                             ExchangeHandler handler) {
+  handler_ = std::move(handler);
+  request_ = std::move(request);
+  is_head_ = is_head;
+  ResetParser();
+  if (closed_) {
+    asio::post(socket_.get_executor(), [self = shared_from_this()]() {
+      self->Finish(ExchangeEnd::kNotConnected);
+    });
+    return;
+  }
+  Write();
+}
+
+void TargetConnection::ResetParser() {
+  parser_.emplace();
+  parser_->header_limit(kMostHeaderBytes);
+  parser_->body_limit(boost::none);
+  parser_->eager(true);
+  parser_->skip(is_head_);
+  head_passed_ = false;
+}
+
+void TargetConnection::Write() {
+  if (!connected_ || closed_ || request_.empty() || writing_) {
+    return;
+  }
+  writing_ = true;
+  asio::async_write(
+      socket_, asio::buffer(request_),
+      [self = shared_from_this()](boost::system::error_code error, size_t) {
+        self->writing_ = false;
+        self->request_.clear();
+        // A reset shows up in the read too, after the bytes before it.
+        static_cast<void>(error);
+      });
+}
+
+void TargetConnection::Read() {
+  if (closed_ || reading_ || paused_) {
+    return;
+  }
+  reading_ = true;
+  socket_.async_read_some(asio::buffer(chunk_),
+                          [self = shared_from_this()](
+                              boost::system::error_code error, size_t bytes) {
+                            self->reading_ = false;
+                            if (self->closed_) {
+                              return;
+                            }
+                            if (error) {
+                              self->OnReadError(error);
+                            } else {
+                              self->OnRead(bytes);
+                            }
+                          });
+}
+
+void TargetConnection::OnRead(size_t bytes) {
+  if (!handler_) {
+    Close();
+    return;
+  }
+  input_.append(chunk_.data(), bytes);
+  const auto self = shared_from_this();
+  if (Parse()) {
+    Read();
+  }
+}
+
+bool TargetConnection::Parse() {
+  while (!input_.empty()) {
+    boost::system::error_code error;
+    const size_t used = parser_->put(asio::buffer(input_), error);
+    input_.erase(0, used);
+    if (error && error != http::error::need_more) {
+      Finish(ExchangeEnd::kBroken);
+      Close();
+      return false;
+    }
+    if (parser_->is_header_done()) {
+      const unsigned status = parser_->get().result_int();
+      if (status < kSuccess && status >= kInformational) {
+        ResetParser();
+        continue;
+      }
+      PassHead();
+      PassBody();
+      if (closed_ || !handler_) {
+        return false;
+      }
+    }
+    if (parser_->is_done()) {
+      Complete();
+      return !closed_;
+    }
+    if (error == http::error::need_more || used == 0) {
+      return true;
+    }
+  }
+  return true;
+}
+
+void TargetConnection::PassHead() {
+  if (head_passed_ || !handler_) {
+    return;
+  }
+  head_passed_ = true;
+  const auto& message = parser_->get();
+  keep_ = parser_->keep_alive();
+  const auto head = handler_->head_;
+  head(message.result_int(), message.base());
+}
+
+void TargetConnection::PassBody() {
+  if (!handler_ || parser_->get().body().empty()) {
+    return;
+  }
+  std::string body = std::move(parser_->get().body());
+  parser_->get().body().clear();
+  const auto pass = handler_->body_;
+  pass(std::move(body));
+}
+
+void TargetConnection::Complete() {
+  // Bytes beyond the answer belong to no request.
+  if (!input_.empty() || writing_ || !parser_->keep_alive()) {
+    keep_ = false;
+  }
+  ++answered_;
+  Finish(ExchangeEnd::kComplete);
+  if (!keep_) {
+    Close();
+  }
+}
+
+void TargetConnection::OnReadError(const boost::system::error_code& error) {
+  if (!handler_) {
+    Close();
+    return;
+  }
+  if (!parser_->is_header_done()) {
+    Finish(ExchangeEnd::kClosed);
+    Close();
+    return;
+  }
+  boost::system::error_code bad;
+  if (error == asio::error::eof && parser_->need_eof()) {
+    parser_->put_eof(bad);
+    keep_ = false;
+    Finish(bad ? ExchangeEnd::kBroken : ExchangeEnd::kComplete);
+  } else {
+    Finish(ExchangeEnd::kBroken);
+  }
+  Close();
+}
+
+void TargetConnection::Finish(ExchangeEnd end) {
+  if (!handler_) {
+    return;
+  }
+  const ExchangeHandler handler = std::move(*handler_);
+  handler_.reset();
+  handler.end_(end);
+}
+
+void TargetConnection::Cancel() {
+  handler_.reset();
+  Close();
+}
+
+void TargetConnection::SetPaused(bool paused) {
+  paused_ = paused;
+  if (!paused_ && connected_) {
+    Read();
+  }
+}
+
+void TargetConnection::CheckConnecting(TimePoint now, Duration timeout) {
+  if (!connected_ && now - opened_ > timeout) {
+    Close();
+  }
+}
+
+void TargetConnection::Close() {
+  if (closed_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  closed_ = true;
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+  if (handler_) {
+    Finish(connected_ ? ExchangeEnd::kClosed : ExchangeEnd::kNotConnected);
+  }
+  on_closed_(*this);
+}
+
+}  // namespace gv
--- /dev/null
+++ b/src/transport/gateway/target_connection.h
@@ -0,0 +1,103 @@
+/** @file target_connection.h One connection to a target, with one request at a
+ * time. */
+#pragma once
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "state/clock_type.h"
+#include "transport/gateway/wire_codec.h"
+
+namespace gv {
+
+/** How an exchange with a target ended. */
+enum class ExchangeEnd : uint8_t {
+  kComplete,      ///< The whole answer came.
+  kNotConnected,  ///< No connection; nothing was sent.
+  kClosed,        ///< Closed after sending, before any byte of an answer.
+  kBroken,        ///< The answer ended early or is no answer.
+};
+
+/** Who wants to know of an exchange. */
+struct ExchangeHandler {
+  std::function<void(unsigned, const HttpFields&)> head_;  ///< Status, header.
+  std::function<void(std::string)> body_;                  ///< A part of it.
+  std::function<void(ExchangeEnd)> end_;                   ///< Called once.
+};
+
+/**
+ * Sends requests and reads answers. Anything that arrives while no request is
+ * in progress closes the connection. Thread safety: owned by one thread; the
+ * handlers are called on it and may cancel the exchange.
+ */
+class TargetConnection : public std::enable_shared_from_this<TargetConnection> {
+ public:
+  /** @param closed Called once when the connection ends. */
+  TargetConnection(boost::asio::io_context& io, std::string address,
+                   std::function<void(TargetConnection&)> closed);
+
+  /** Connects. @pre Called once. */
+  void Open(TimePoint now);
+  /**
+   * Sends a request, once connected.
+   * @param request The whole request. @pre !IsBusy().
+   */
+  void Start(std::string request, bool is_head, ExchangeHandler handler);
+  /** Ends the exchange without calling its handler, and the connection. */
+  void Cancel();
+  /** Stops or goes on reading, so that a slow caller holds back a target. */
+  void SetPaused(bool paused);
+  /** Closes a connection attempt that takes too long. */
+  void CheckConnecting(TimePoint now, Duration timeout);
+
+  const std::string& Address() const { return address_; }
+  bool IsBusy() const { return handler_.has_value(); }
+  bool IsClosed() const { return closed_; }
+  /** @return True if a request was answered on it before. */
+  bool IsReused() const { return answered_ > 0; }
+  /** @return True if it may take another request. */
+  bool IsReusable() const { return !closed_ && keep_ && !handler_; }
+
+ private:
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void Write();
+  void Read();
+  void OnRead(size_t bytes);
+  void OnReadError(const boost::system::error_code& error);
+  bool Parse();
+  void ResetParser();
+  void PassHead();
+  void PassBody();
+  void Complete();
+  void Finish(ExchangeEnd end);
+  void Close();
+
+  boost::asio::ip::tcp::socket socket_;               ///< The connection.
+  std::string address_;                               ///< "IP:port".
+  std::function<void(TargetConnection&)> on_closed_;  ///< To the pool.
+  std::optional<ExchangeHandler> handler_;            ///< Of the exchange.
+  std::optional<Parser> parser_;                      ///< Of the answer.
+  std::string request_;                               ///< Being sent.
+  std::string input_;                                 ///< Read, not yet parsed.
+  std::array<char, 8192> chunk_{};                    ///< Of one read.
+  TimePoint opened_;          ///< Start of the connecting.
+  uint64_t answered_ = 0;     ///< Complete exchanges.
+  bool connected_ = false;    ///< Ready to send.
+  bool writing_ = false;      ///< A write is in progress.
+  bool reading_ = false;      ///< A read is in progress.
+  bool paused_ = false;       ///< By SetPaused.
+  bool head_passed_ = false;  ///< Of this answer.
+  bool is_head_ = false;      ///< The answer has no body.
+  bool keep_ = true;          ///< The target keeps it open.
+  bool closed_ = false;       ///< At the end.
+};
+
+}  // namespace gv
--- /dev/null
+++ b/src/transport/gateway/target_pool.cc
@@ -0,0 +1,96 @@
+/** @file target_pool.cc Gives out and takes back connections. */
+#include "transport/gateway/target_pool.h"
+
+#include <algorithm>
+
+namespace gv {
+namespace {
+
+/** A connection in one region takes some 10 ms; one lost packet costs 200. */
+constexpr Duration kConnectTimeout = 450_ms;
+/** Kept below the time after which the target closes, so that no request meets
+ * a connection that is being closed. */
+constexpr Duration kKeepMargin = 700_ms;
+constexpr Duration kLongestIdle = 20_s;
+
+}  // namespace
+
+std::shared_ptr<TargetConnection> TargetPool::Acquire(
+    TimePoint now, const std::string& address, Duration most_idle) {
+  auto& idle = idle_[address];
+  while (!idle.empty()) {
+    const Idle last = idle.back();
+    if (now - last.since_ > most_idle) {
+      break;
+    }
+    idle.pop_back();
+    if (last.connection_->IsReusable() && now < last.until_) {
+      return last.connection_;
+    }
+    last.connection_->Cancel();
+  }
+  auto connection = std::make_shared<TargetConnection>(
+      io_, address, [this](TargetConnection& closed) { OnClosed(closed); });
+  open_[connection.get()] = connection;
+  ++opened_;
+  connection->Open(now);
+  return connection;
+}
+
+void TargetPool::Release(TimePoint now,
+                         const std::shared_ptr<TargetConnection>& connection,
+                         Duration keep_alive) {
+  if (!connection->IsReusable()) {
+    return;
+  }
+  const Duration most = std::min(kLongestIdle, keep_alive - kKeepMargin);
+  if (most <= Duration()) {
+    connection->Cancel();
+    return;
+  }
+  idle_[connection->Address()].push_back(Idle{connection, now, now + most});
+}
+
+void TargetPool::OnTick(TimePoint now) {
+  std::vector<std::shared_ptr<TargetConnection>> ended;
+  for (auto& [address, idle] : idle_) {
+    std::erase_if(idle, [&](const Idle& item) {
+      if (now < item.until_ && item.connection_->IsReusable()) {
+        return false;
+      }
+      ended.push_back(item.connection_);
+      return true;
+    });
+  }
+  for (const auto& connection : ended) {
+    connection->Cancel();
+  }
+  std::vector<std::shared_ptr<TargetConnection>> open;
+  for (const auto& [key, weak] : open_) {
+    if (auto connection = weak.lock()) {
+      open.push_back(std::move(connection));
+    }
+  }
+  for (const auto& connection : open) {
+    connection->CheckConnecting(now, kConnectTimeout);
+  }
+}
+
+void TargetPool::OnClosed(TargetConnection& connection) {
+  open_.erase(&connection);
+}
+
+void TargetPool::Close() {
+  std::vector<std::shared_ptr<TargetConnection>> open;
+  for (const auto& [key, weak] : open_) {
+    if (auto connection = weak.lock()) {
+      open.push_back(std::move(connection));
+    }
+  }
+  for (const auto& connection : open) {
+    connection->Cancel();
+  }
+  idle_.clear();
+}
+
+}  // namespace gv
--- /dev/null
+++ b/src/transport/gateway/wire_codec.h
@@ -0,0 +1,103 @@
+/** @file wire_codec.h What a gateway has to know of the protocol of its
+ * surroundings; an adapter fills it in. */
+#pragma once
+
+#include <boost/beast/http/fields.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "state/routing_type.h"
+#include "state/target_registration_type.h"
+#include "state/verdict_type.h"
+
+namespace gv {
+
+using HttpFields = boost::beast::http::fields;
+
+/** What the header of a caller's request says. */
+struct CallerFacts {
+  std::string attempt_;                 ///< Id of this try of the caller.
+  std::optional<Duration> deadline_;    ///< How long the caller waits.
+  std::string key_;                     ///< API key; empty if none was sent.
+  std::optional<uint64_t> last_event_;  ///< Resume after this event.
+  int64_t prompt_tokens_ = 0;           ///< Zero if it is no prompt.
+  int64_t answer_tokens_ = 0;           ///< Most that may be written.
+};
+
+/** What a gateway tells a target beside the caller's request. */
+struct ForwardFacts {
+  Duration time_left_;                  ///< Until nobody waits any more.
+  TargetId target_;                     ///< Any other target must refuse.
+  std::string customer_;                ///< Empty if the route needs no key.
+  std::vector<std::string> helpers_;    ///< "IP:port" or "IP:port/ticket".
+  std::optional<uint64_t> last_event_;  ///< Resume after this event.
+  std::optional<int> urgency_;          ///< Zero is first.
+};
+
+/** What the header of a target's answer says. */
+struct AnswerFacts {
+  bool has_signature_ = false;          ///< It comes from a target that ran it.
+  bool not_run_ = false;                ///< The target has not run the request.
+  bool is_encoded_ = false;             ///< The body is not the target's own.
+  bool is_event_stream_ = false;        ///< The body is a series of events.
+  std::string attempt_;                 ///< Which request it answers.
+  std::optional<Duration> keep_alive_;  ///< How long it keeps idle connections.
+};
+
+/** Calls that targets and operators make. */
+enum class ControlCall : uint8_t {
+  kUnknown,
+  kRegister,
+  kDepart,
+  kPutConfiguration,
+  kGetConfiguration,
+};
+
+/** One such call. */
+struct ControlRequest {
+  ControlCall call_ = ControlCall::kUnknown;  ///< Which.
+  std::string id_;                            ///< Target of a registration.
+};
+
+/** An order to a target. */
+struct TargetOrder {
+  std::string path_;  ///< Where it is posted.
+  std::string body_;  ///< JSON text.
+};
+
+/** Translates between the product's types and the wire. All functions are pure
+ * and may be called on any thread. */
+struct WireCodec {
+  std::string_view readiness_path_;  ///< Asked by the balancer.
+  /** Reads the header of a request. */
+  CallerFacts (*read_caller_)(const HttpFields& fields) = nullptr;
+  /** Removes what a target must not see and sets what it must. */
+  void (*write_forward_)(const ForwardFacts& facts,
+                         HttpFields& fields) = nullptr;
+  /** Reads the header of an answer. */
+  AnswerFacts (*read_answer_)(unsigned status,
+                              const HttpFields& fields) = nullptr;
+  /** Tells which call a request of a target or operator is. */
+  ControlRequest (*read_control_)(std::string_view method,
+                                  std::string_view path) = nullptr;
+  /** Decodes a configuration, or gives Reason::kBadRequest. */
+  Result<RoutingConfiguration> (*decode_configuration_)(std::string_view text) =
+      nullptr;
+  /** Decodes a registration, or gives Reason::kBadRequest. */
+  Result<TargetRegistration> (*decode_registration_)(
+      const std::string& id, std::string_view text) = nullptr;
+  /** Makes an order that reserves memory under @p ticket. */
+  TargetOrder (*encode_reserve_)(const std::string& ticket, int64_t tokens,
+                                 Duration hold) = nullptr;
+  /** Makes an order that ends a reservation. */
+  TargetOrder (*encode_release_)(const std::string& ticket) = nullptr;
+};
+
+/** Sets the codec that gateways use. Call from main, before RunCommandLine. */
+void SetWireCodec(const WireCodec* codec);
+/** @return The codec, or nullptr if the binary has none. */
+const WireCodec* GetWireCodec();
+
+}  // namespace gv
--- a/src/transport/peer_network.cc
+++ b/src/transport/peer_network.cc
@@ -139,6 +139,22 @@
   }
 }
 
+void PeerNetwork::DropSilent(Duration silence) {
+  std::vector<std::shared_ptr<PeerSession>> silent;
+  {
+    const std::lock_guard lock(mutex_);
+    for (const auto& [node, peer] : peers_) {
+      if (peer.session_ != nullptr &&
+          SteadyNow() - peer.session_->HeardAt() > silence) {
+        silent.push_back(peer.session_);
+      }
+    }
+  }
+  for (const auto& session : silent) {
+    session->Close();
+  }
+}
+
 void PeerNetwork::Close() {
   std::map<NodeId, Peer> peers;
   {
--- a/src/transport/peer_network.h
+++ b/src/transport/peer_network.h
@@ -36,6 +36,10 @@
   /** Sends to envelope.to_.node_, or drops the envelope if the peer cannot be
    * reached. */
   void Send(Envelope envelope);
+  /** Closes sessions whose peer has sent nothing for @p silence; for processes
+   * that hear from each peer more often than that. @note Only where one thread
+   * runs all connections. */
+  void DropSilent(Duration silence);
   /** Closes everything. */
   void Close();
 
--- a/src/transport/peer_session.cc
+++ b/src/transport/peer_session.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -15,6 +16,7 @@
 #include "protocol/codec.h"
 #include "state/process_settings.h"
 #include "transport/secret.h"
+#include "transport/steady_clock.h"
 
 namespace gv {
 namespace {
@@ -26,7 +28,9 @@
 constexpr size_t kMaxHelloBytes = 4096;
 constexpr size_t kMaxQueuedBytes = 256UL << 20;
 constexpr size_t kEnvelopeOverheadBytes = 256;
-constexpr std::chrono::seconds kHandshakeTimeout{5};
+/** A few round trips within a region, on a busy VM; connections into a
+ * partition must not hang for longer than a peer may be missed. */
+constexpr std::chrono::milliseconds kHandshakeTimeout{1500};
 
 /** @return An estimate of the size of an envelope on the wire, in bytes. */
 size_t EstimateBytes(const Envelope& envelope) {
@@ -34,6 +38,16 @@
     return kEnvelopeOverheadBytes + dispatch->spec_.body_.size() +
            dispatch->resume_text_.size();
   }
+  if (const auto* push = std::get_if<ConfigurationPush>(&envelope.body_)) {
+    return kEnvelopeOverheadBytes + push->text_.size();
+  }
+  if (const auto* append = std::get_if<AppendRequest>(&envelope.body_)) {
+    size_t bytes = kEnvelopeOverheadBytes;
+    for (const LogEntry& entry : append->entries_) {
+      bytes += entry.payload_.size();
+    }
+    return bytes;
+  }
   if (const auto* chunk = std::get_if<SnapshotChunk>(&envelope.body_)) {
     return kEnvelopeOverheadBytes + chunk->data_.size();
   }
@@ -87,7 +101,8 @@
     : socket_(std::move(socket)),
       handshake_(socket_.get_executor()),
       identity_(std::move(identity)),
-      callbacks_(std::move(callbacks)) {}
+      callbacks_(std::move(callbacks)),
+      heard_at_(SteadyNow()) {}
 
 void PeerSession::StartAccepted() { Spawn(""); }
 
@@ -173,6 +188,7 @@
   std::string payload(length, '\0');
   co_await asio::async_read(socket_, asio::buffer(payload),
                             asio::use_awaitable);
+  heard_at_ = SteadyNow();
   co_return payload;
 }
 
@@ -189,7 +205,7 @@
 }
 
 void PeerSession::Send(Envelope envelope) {
-  asio::post(
+  asio::dispatch(
       socket_.get_executor(),
       [self = shared_from_this(), envelope = std::move(envelope)]() mutable {
         if (self->closed_) {
--- a/src/transport/peer_session.h
+++ b/src/transport/peer_session.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "protocol/message.h"
+#include "state/clock_type.h"
 
 namespace gv {
 
@@ -51,6 +52,9 @@
   void Send(Envelope envelope);
   /** Ends the connection. */
   void Close();
+  /** @return When bytes last came from the peer, or the session began. @note
+   * On the strand only. */
+  TimePoint HeardAt() const { return heard_at_; }
   /** @return The peer. @pre ready_ was called. */
   const NodeId& Peer() const { return peer_; }
   /** @return True after the handshake. @note On the strand or in a callback
@@ -81,6 +85,7 @@
   bool closed_ = false;    ///< True once closed_ was called.
   std::deque<Envelope> queue_;  ///< Not yet written.
   size_t queued_bytes_ = 0;     ///< Estimated size of queue_.
+  TimePoint heard_at_;          ///< Last bytes of the peer, or the start.
 };
 
 }  // namespace gv
--- a/src/transport/runtime.cc
+++ b/src/transport/runtime.cc
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <iostream>
 
+#include "transport/gateway/gateway.h"
 #include "transport/process.h"
 #include "transport/process_settings_file.h"
 
@@ -22,6 +23,9 @@
     return kExitBadSettings;
   }
   std::signal(SIGPIPE, SIG_IGN);
+  if (settings.value().HasRole("gateway")) {
+    return RunGateway(settings.value(), settings_file);
+  }
   ConfigureLog(settings.value().log_file_, settings.value().log_level_);
   Process process(settings.value());
   const auto opened = process.Open();
