Keep engines that own long prompts out of helping, and count open prefill until the first event

Cause: engines read parts for others before their own reads, so an owner that also helped never got to its own prompt; the load in the ledger shrank with time although the engine was held up. Ruled out: restarting silent prompts (each restart read the prompt again and made the crest worse).

--- a/src/coordination/gateway/load_ledger.cc
+++ b/src/coordination/gateway/load_ledger.cc
@@ -11,6 +11,9 @@
  */
 constexpr Duration kRateSpan = 2_s;
 constexpr double kMsPerSecond = 1000;
+/** Predictions are right within a factor of two. */
+constexpr int64_t kOverdue = 2;
+constexpr Duration kLeastOverdue = 200_ms;
 
 }  // namespace
 
@@ -19,8 +22,7 @@
   double sum = 0;
   for (const PrefillPart& part : work.parts_) {
     OwnLoad& own = own_[part.target_];
-    own.busy_until_ = std::max(own.busy_until_, now) +
-                      Duration(static_cast<int64_t>(std::ceil(part.ms_)));
+    own.prefill_ms_ += part.ms_;
     own.tokens_ += part.tokens_;
     sum += part.ms_;
   }
@@ -28,33 +30,63 @@
   if (work.is_short_) {
     ++short_streams_;
   } else {
+    long_tokens_ += work.parts_.front().tokens_;
     std::erase_if(long_prefill_, [now](const Span& span) {
       return now - span.start_ > kRateSpan;
     });
     long_prefill_.push_back(Span{now, sum});
   }
-  work_.emplace(last_, work);
+  const auto predicted = static_cast<int64_t>(work.wait_ms_);
+  work_.emplace(last_, OpenWork{work, now + Duration(predicted) * kOverdue +
+                                          kLeastOverdue});
   return last_;
 }
 
+void LoadLedger::FirstEvent(WorkId id) {
+  const auto found = work_.find(id);
+  if (found == work_.end()) {
+    return;
+  }
+  for (PrefillPart& part : found->second.work_.parts_) {
+    OwnLoad& own = own_[part.target_];
+    own.prefill_ms_ = std::max(0.0, own.prefill_ms_ - part.ms_);
+    part.ms_ = 0;
+  }
+}
+
 void LoadLedger::End(WorkId id) {
+  FirstEvent(id);
   const auto found = work_.find(id);
   if (found == work_.end()) {
     return;
   }
-  const PlacedWork& work = found->second;
+  const PlacedWork& work = found->second.work_;
   for (const PrefillPart& part : work.parts_) {
     own_[part.target_].tokens_ -= part.tokens_;
   }
   --own_[work.parts_.front().target_].requests_;
   short_streams_ -= work.is_short_ ? 1 : 0;
+  long_tokens_ -= work.is_short_ ? 0 : work.parts_.front().tokens_;
   work_.erase(found);
 }
 
+void LoadLedger::SettleOverdue(TimePoint now) {
+  std::vector<WorkId> overdue;
+  for (const auto& [id, open] : work_) {
+    if (now >= open.settle_) {
+      overdue.push_back(id);
+    }
+  }
+  for (const WorkId id : overdue) {
+    FirstEvent(id);
+  }
+}
+
 void LoadLedger::SetRemote(TimePoint now, const NodeId& gateway,
                            const GatewayLoad& load) {
   Remote& remote = remote_[gateway];
-  remote = Remote{now, {}, load.short_streams_, load.long_prefill_ms_};
+  remote = Remote{
+      now, {}, load.short_streams_, load.long_prefill_ms_, load.long_tokens_};
   for (const TargetLoadRow& row : load.rows_) {
     remote.rows_[row.target_] = row;
   }
@@ -66,13 +98,12 @@
   });
 }
 
-TargetLoad LoadLedger::At(TimePoint now, const TargetId& target) const {
+TargetLoad LoadLedger::At(const TargetId& target) const {
   TargetLoad load;
   if (const auto own = own_.find(target); own != own_.end()) {
     load.requests_ = own->second.requests_;
     load.tokens_ = own->second.tokens_;
-    const Duration left = own->second.busy_until_ - now;
-    load.prefill_ms_ = static_cast<double>(std::max<int64_t>(0, left.Ms()));
+    load.prefill_ms_ = own->second.prefill_ms_;
   }
   for (const auto& [gateway, remote] : remote_) {
     const auto row = remote.rows_.find(target);
@@ -81,8 +112,7 @@
     }
     load.requests_ += row->second.requests_;
     load.tokens_ += row->second.tokens_;
-    const int64_t left = row->second.prefill_ms_ - (now - remote.at_).Ms();
-    load.prefill_ms_ += static_cast<double>(std::max<int64_t>(0, left));
+    load.prefill_ms_ += static_cast<double>(row->second.prefill_ms_);
   }
   return load;
 }
@@ -97,17 +127,17 @@
 
 GatewayLoad LoadLedger::Own(TimePoint now) {
   GatewayLoad load;
-  std::erase_if(own_, [now](const auto& item) {
+  std::erase_if(own_, [](const auto& item) {
     return item.second.requests_ == 0 && item.second.tokens_ == 0 &&
-           item.second.busy_until_ <= now;
+           item.second.prefill_ms_ < 1;
   });
   for (const auto& [target, own] : own_) {
-    const int64_t left = std::max<int64_t>(0, (own.busy_until_ - now).Ms());
-    load.rows_.push_back(
-        TargetLoadRow{target, own.requests_, left, own.tokens_});
+    load.rows_.push_back(TargetLoadRow{
+        target, own.requests_, std::lround(own.prefill_ms_), own.tokens_});
   }
   load.short_streams_ = short_streams_;
   load.long_prefill_ms_ = static_cast<int64_t>(OwnLongPrefillMs(now));
+  load.long_tokens_ = long_tokens_;
   return load;
 }
 
@@ -119,6 +149,14 @@
   return sum;
 }
 
+int64_t LoadLedger::LongTokens() const {
+  int64_t sum = long_tokens_;
+  for (const auto& [gateway, remote] : remote_) {
+    sum += remote.long_tokens_;
+  }
+  return sum;
+}
+
 double LoadLedger::LongPrefillMs(TimePoint now) const {
   double sum = OwnLongPrefillMs(now);
   for (const auto& [gateway, remote] : remote_) {
--- a/src/coordination/gateway/load_ledger.h
+++ b/src/coordination/gateway/load_ledger.h
@@ -33,26 +33,34 @@
 struct PlacedWork {
   std::vector<PrefillPart> parts_;  ///< Never empty.
   bool is_short_ = true;            ///< Counts among the short streams.
+  double wait_ms_ = 0;              ///< Predicted time to the first event.
 };
 
 /**
- * Adds up work by target. Prefill is predicted to go on without a break, so a
- * backlog shrinks with time by itself. Thread safety: owned by one thread.
+ * Adds up work by target. Prefill counts as open until the first event of its
+ * request, so that an engine that is slower than predicted shows as busy.
+ * Thread safety: owned by one thread.
  */
 class LoadLedger {
  public:
   /** Counts a request. @pre @p work has a part. */
   WorkId Begin(TimePoint now, const PlacedWork& work);
+  /** The prefill of a request is done. Unknown ids are ignored. */
+  void FirstEvent(WorkId id);
   /** A request ended in any way. Unknown ids are ignored. */
   void End(WorkId id);
 
+  /** Counts prefill as done that is far beyond its prediction: its engine is
+   * held up by something else, and would seem busy for ever. */
+  void SettleOverdue(TimePoint now);
+
   /** Replaces what another gateway reported. */
   void SetRemote(TimePoint now, const NodeId& gateway, const GatewayLoad& load);
   /** Forgets reports that are older than @p age. */
   void ForgetRemote(TimePoint now, Duration age);
 
   /** @return The load of one target. */
-  TargetLoad At(TimePoint now, const TargetId& target) const;
+  TargetLoad At(const TargetId& target) const;
   /** @return What this gateway reports to the others. */
   GatewayLoad Own(TimePoint now);
   /** @return Streams of short prompts in progress at all gateways. */
@@ -60,13 +68,20 @@
   /** @return Prefill of long prompts begun in the last second at all gateways,
    * in milliseconds. */
   double LongPrefillMs(TimePoint now) const;
+  /** @return KV memory of long prompts in progress at all gateways. */
+  int64_t LongTokens() const;
 
  private:
   /** Own work at one target. */
   struct OwnLoad {
-    int64_t requests_ = 0;  ///< In progress.
-    int64_t tokens_ = 0;    ///< Held.
-    TimePoint busy_until_;  ///< When the prefill begun so far is done.
+    int64_t requests_ = 0;   ///< In progress.
+    int64_t tokens_ = 0;     ///< Held.
+    double prefill_ms_ = 0;  ///< Open.
+  };
+  /** A request in progress. */
+  struct OpenWork {
+    PlacedWork work_;   ///< As placed.
+    TimePoint settle_;  ///< When its prefill counts as done.
   };
   /** What one other gateway reported. */
   struct Remote {
@@ -74,6 +89,7 @@
     std::unordered_map<TargetId, TargetLoadRow> rows_;  ///< By target.
     int64_t short_streams_ = 0;                         ///< In progress there.
     int64_t long_prefill_ms_ = 0;                       ///< In the last second.
+    int64_t long_tokens_ = 0;                           ///< In progress there.
   };
   /** Prefill of long prompts in a short span. */
   struct Span {
@@ -83,12 +99,13 @@
 
   double OwnLongPrefillMs(TimePoint now) const;
 
-  WorkId last_;                                  ///< For new ids.
-  std::unordered_map<WorkId, PlacedWork> work_;  ///< In progress.
-  std::unordered_map<TargetId, OwnLoad> own_;    ///< By target.
-  std::map<NodeId, Remote> remote_;              ///< By gateway.
-  int64_t short_streams_ = 0;                    ///< Own.
-  std::vector<Span> long_prefill_;               ///< Own, last second.
+  WorkId last_;                                ///< For new ids.
+  std::unordered_map<WorkId, OpenWork> work_;  ///< In progress.
+  std::unordered_map<TargetId, OwnLoad> own_;  ///< By target.
+  std::map<NodeId, Remote> remote_;            ///< By gateway.
+  int64_t short_streams_ = 0;                  ///< Own.
+  int64_t long_tokens_ = 0;                    ///< Own.
+  std::vector<Span> long_prefill_;             ///< Own, last second.
 };
 
 }  // namespace gv
--- a/src/coordination/gateway/placement.cc
+++ b/src/coordination/gateway/placement.cc
@@ -21,18 +21,25 @@
 /** The engines' own bound on the helpers of one prompt. */
 constexpr int64_t kMostHelpers = 16;
 /** Streams of short answers for each slot at which passes stay short. */
-constexpr double kShortFill = 0.6;
+constexpr double kShortFill = 0.75;
 /** Engines read for this part of the time at most, so that queues stay short.
  */
 constexpr double kPrefillFill = 0.8;
 /** Part of the memory beyond which an engine may have to preempt. */
-constexpr double kMemoryFill = 0.9;
+constexpr double kMemoryFill = 0.88;
 /** Part of one engine's memory that one reservation takes at most. */
 constexpr double kReservationFill = 0.45;
+/** Memory of engines that own long prompts is filled so far on average. */
+constexpr double kOwnerFill = 0.4;
+/** Short prompts go to another gateway's engines only if they start earlier by
+ * this time; about the age of the reports. */
+constexpr double kOtherHomeMs = 25;
 /** Costs one way between data centres, as a preference only. */
 constexpr double kOtherDataCentreMs = 4;
 /** Keeps suspected targets behind all others. */
 constexpr double kSuspectedMs = 1e6;
+/** Puts engines without room behind all that have some. */
+constexpr double kNoRoomMs = 1e5;
 /** What a failed request costs: about its objective. */
 constexpr double kFailureMs = 300;
 /** A stream that writes makes each pass a little longer. */
@@ -55,7 +62,7 @@
         entry.target_.state_ != RegistrationState::kReady) {
       continue;
     }
-    Candidate candidate{&entry, ledger_.At(now, id), OrderOf(id), 0};
+    Candidate candidate{&entry, ledger_.At(id), OrderOf(id), 0};
     if (entry.target_.data_centre_ != own_) {
       candidate.penalty_ms_ += kOtherDataCentreMs;
     }
@@ -82,6 +89,7 @@
                             ? PlacePrompt(now, request, candidates)
                             : PlaceCall(candidates);
   placement.candidates_ = candidates.size();
+  placement.work_.wait_ms_ = placement.wait_ms_;
   return placement;
 }
 
@@ -127,67 +135,145 @@
   return std::clamp<size_t>(rounded, 1, engines - 1);
 }
 
+bool Placer::HasRoom(const EngineProfile& engine, const Candidate& candidate,
+                     int64_t tokens) {
+  return static_cast<double>(candidate.load_.tokens_ + tokens) <=
+             kMemoryFill * static_cast<double>(engine.memory_tokens_) &&
+         candidate.load_.requests_ < engine.slots_;
+}
+
+double Placer::WaitMs(const EngineProfile& engine, const Candidate& candidate,
+                      int64_t tokens) {
+  const TargetLoad& load = candidate.load_;
+  const auto slots = static_cast<double>(engine.slots_);
+  const double answer_ms =
+      AnswerMs(engine, load.requests_, load.tokens_,
+               std::max<int64_t>(1, engine.usual_answer_tokens_));
+  const auto waiting = static_cast<double>(load.requests_ - engine.slots_ + 1);
+  const double room = kMemoryFill * static_cast<double>(engine.memory_tokens_);
+  const bool no_room = static_cast<double>(load.tokens_ + tokens) > room;
+  // Half of the pass in progress, and the pass that makes the first event.
+  const double passes = load.requests_ > 0 ? 1.5 : 1;
+  return load.prefill_ms_ +
+         passes * PassMs(engine, load.requests_ + 1, load.tokens_ + tokens) +
+         std::max(0.0, waiting) * answer_ms / slots + (no_room ? answer_ms : 0);
+}
+
+size_t Placer::OwnerShare(const EngineProfile& engine, size_t engines) const {
+  const double room = kOwnerFill * static_cast<double>(std::max<int64_t>(
+                                       1, engine.memory_tokens_));
+  const double wanted = static_cast<double>(ledger_.LongTokens()) / room + 2;
+  return std::clamp<size_t>(static_cast<size_t>(std::ceil(wanted)), 1,
+                            std::max<size_t>(1, engines / 2));
+}
+
 Placement Placer::PlacePrompt(TimePoint now, const PlacementRequest& request,
                               std::vector<Candidate>& candidates) const {
   const EngineProfile& engine = *request.service_->engine_;
-  const double prefill_ms = PrefillMs(engine, request.prompt_tokens_);
-  const bool is_short = prefill_ms <= kLongPrefillMs;
+  const bool is_short =
+      PrefillMs(engine, request.prompt_tokens_) <= kLongPrefillMs;
   std::sort(candidates.begin(), candidates.end(),
             [](const Candidate& a, const Candidate& b) {
               return a.order_ < b.order_;
             });
   const size_t border = ShortShare(now, engine, candidates.size());
   const auto middle = candidates.begin() + static_cast<std::ptrdiff_t>(border);
-  std::vector<Candidate> zone =
-      is_short ? std::vector<Candidate>(candidates.begin(), middle)
-               : std::vector<Candidate>(middle, candidates.end());
-  if (zone.empty()) {
-    zone = candidates;
-  }
+  return is_short || middle == candidates.end()
+             ? PlaceShort(request, {candidates.begin(), middle})
+             : PlaceLong(request, {middle, candidates.end()});
+}
+
+Placement Placer::PlaceShort(const PlacementRequest& request,
+                             std::vector<Candidate> zone) const {
+  const EngineProfile& engine = *request.service_->engine_;
   const int64_t tokens = request.prompt_tokens_ + request.answer_tokens_;
+  const size_t homes = std::min(count_, zone.size());
+  for (size_t i = 0; i < zone.size(); ++i) {
+    if (i % homes != index_ % homes) {
+      zone[i].penalty_ms_ += kOtherHomeMs;
+    }
+  }
   const auto score = [&](const Candidate& candidate) {
-    const auto used = static_cast<double>(candidate.load_.tokens_ + tokens);
-    const double room =
-        kMemoryFill * static_cast<double>(engine.memory_tokens_);
-    const bool full = candidate.load_.requests_ >= engine.slots_;
-    return candidate.penalty_ms_ + candidate.load_.prefill_ms_ +
-           kStreamMs * static_cast<double>(candidate.load_.requests_) +
-           (used > room ? kFailureMs : 0) + (full ? kFailureMs : 0);
+    return candidate.penalty_ms_ + WaitMs(engine, candidate, tokens) +
+           kStreamMs * static_cast<double>(candidate.load_.requests_);
   };
   std::sort(zone.begin(), zone.end(),
             [&score](const Candidate& a, const Candidate& b) {
               return score(a) < score(b);
             });
+  const double prefill_ms = PrefillMs(engine, request.prompt_tokens_);
+  const int64_t helpers = HelpersFor(
+      engine, request.prompt_tokens_, kShortPartMs,
+      std::min<int64_t>(kMostHelpers, static_cast<int64_t>(zone.size()) - 1));
+  const double part_ms = prefill_ms / static_cast<double>(helpers + 1);
   Placement placement;
   placement.target_ = zone.front().entry_->target_.id_;
-  const int64_t most =
-      std::min<int64_t>(kMostHelpers, static_cast<int64_t>(zone.size()) - 1);
-  const int64_t helpers =
-      HelpersFor(engine, request.prompt_tokens_,
-                 is_short ? kShortPartMs : kLongPartMs, most);
-  const double part_ms = prefill_ms / static_cast<double>(helpers + 1);
-  placement.work_.is_short_ = is_short;
+  placement.wait_ms_ = WaitMs(engine, zone.front(), tokens) + part_ms;
   placement.work_.parts_.push_back(
       PrefillPart{placement.target_, part_ms, tokens});
-  double wait = score(zone.front());
-  for (int64_t i = 1; i <= helpers; ++i) {
-    const Candidate& helper = zone[static_cast<size_t>(i)];
+  AddHelpers({zone.begin() + 1, zone.end()}, static_cast<size_t>(helpers),
+             part_ms, placement);
+  return placement;
+}
+
+Placement Placer::PlaceLong(const PlacementRequest& request,
+                            std::vector<Candidate> zone) const {
+  const EngineProfile& engine = *request.service_->engine_;
+  const int64_t tokens = request.prompt_tokens_ + request.answer_tokens_;
+  const size_t owners = OwnerShare(engine, zone.size());
+  const auto middle = zone.begin() + static_cast<std::ptrdiff_t>(owners);
+  // Engines read parts of others' prompts before their own, so an engine that
+  // helps never gets to its own prompts under load: owners don't help. And a
+  // prompt that waits for memory is passed by smaller ones for seconds, so room
+  // goes before everything else.
+  const auto rank = [&](const Candidate& candidate) {
+    return candidate.penalty_ms_ + WaitMs(engine, candidate, tokens) +
+           (HasRoom(engine, candidate, tokens) ? 0 : kNoRoomMs);
+  };
+  const Candidate chosen = *std::min_element(
+      zone.begin(), middle, [&rank](const Candidate& a, const Candidate& b) {
+        return rank(a) < rank(b);
+      });
+  std::sort(middle, zone.end(), [](const Candidate& a, const Candidate& b) {
+    return a.penalty_ms_ + a.load_.prefill_ms_ <
+           b.penalty_ms_ + b.load_.prefill_ms_;
+  });
+  const std::vector<Candidate> readers(middle, zone.end());
+  const int64_t helpers = HelpersFor(
+      engine, request.prompt_tokens_, kLongPartMs,
+      std::min<int64_t>(kMostHelpers, static_cast<int64_t>(readers.size())));
+  const double part_ms = PrefillMs(engine, request.prompt_tokens_) /
+                         static_cast<double>(helpers + 1);
+  Placement placement;
+  placement.target_ = chosen.entry_->target_.id_;
+  placement.work_.is_short_ = false;
+  placement.work_.parts_.push_back(
+      PrefillPart{placement.target_, part_ms, tokens});
+  placement.wait_ms_ = WaitMs(engine, chosen, tokens);
+  AddHelpers(readers, static_cast<size_t>(helpers), part_ms, placement);
+  placement.wait_ms_ += part_ms;
+  Reserve(engine, request, readers, placement);
+  return placement;
+}
+
+void Placer::AddHelpers(const std::vector<Candidate>& helpers, size_t count,
+                        double part_ms, Placement& placement) {
+  for (size_t i = 0; i < std::min(count, helpers.size()); ++i) {
+    const Candidate& helper = helpers[i];
     if (helper.penalty_ms_ >= kSuspectedMs) {
       break;
     }
     placement.helpers_.push_back(helper.entry_->target_.id_);
     placement.work_.parts_.push_back(
         PrefillPart{helper.entry_->target_.id_, part_ms, 0});
-    wait = std::max(wait, helper.load_.prefill_ms_);
+    placement.wait_ms_ = std::max(placement.wait_ms_, helper.load_.prefill_ms_);
   }
-  placement.wait_ms_ = wait + part_ms;
-  Reserve(engine, request, zone, placement);
-  return placement;
 }
 
 void Placer::Reserve(const EngineProfile& engine,
                      const PlacementRequest& request,
-                     const std::vector<Candidate>& zone, Placement& placement) {
+                     const std::vector<Candidate>& helpers,
+                     Placement& placement) {
   const auto memory = static_cast<double>(engine.memory_tokens_);
   const auto tokens =
       static_cast<double>(request.prompt_tokens_ + request.answer_tokens_);
@@ -198,8 +284,8 @@
   const auto each = static_cast<int64_t>(std::ceil(tokens / parts));
   // Holders are among the helpers, since each ticket is named with a helper.
   std::vector<const Candidate*> holders;
-  for (size_t i = 1; i <= placement.helpers_.size(); ++i) {
-    holders.push_back(&zone[i]);
+  for (size_t i = 0; i < placement.helpers_.size(); ++i) {
+    holders.push_back(&helpers[i]);
   }
   std::sort(holders.begin(), holders.end(),
             [](const Candidate* a, const Candidate* b) {
@@ -207,8 +293,11 @@
             });
   const auto wanted = static_cast<size_t>(parts) - 1;
   for (size_t i = 0; i < std::min(wanted, holders.size()); ++i) {
-    placement.reservations_.push_back(
-        ReservationPlan{holders[i]->entry_->target_.id_, each});
+    const TargetId& holder = holders[i]->entry_->target_.id_;
+    placement.reservations_.push_back(ReservationPlan{holder, each});
+    for (PrefillPart& part : placement.work_.parts_) {
+      part.tokens_ += part.target_ == holder ? each : 0;
+    }
   }
   placement.work_.parts_.front().tokens_ = each;
 }
--- a/src/coordination/gateway/placement.h
+++ b/src/coordination/gateway/placement.h
@@ -2,6 +2,7 @@
  * a long prompt together. */
 #pragma once
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <vector>
@@ -39,8 +40,11 @@
 };
 
 /**
- * Reads of long prompts are spread over many engines, away from those that
- * write short answers; the border between the two follows the load. Pure but
+ * Engines are split in three parts that follow the load: some take short
+ * prompts, some own long prompts and write their answers, and the rest only
+ * read parts of long prompts. Each gateway prefers other engines for short
+ * prompts, so that reports that are a little old do not make all of them choose
+ * the same one. Pure but
  * for its references. Thread safety: owned by one thread.
  */
 class Placer {
@@ -57,6 +61,12 @@
   std::optional<Placement> Place(TimePoint now,
                                  const PlacementRequest& request) const;
 
+  /** Sets which of how many gateways this one is. */
+  void SetPosition(size_t index, size_t count) {
+    index_ = index;
+    count_ = std::max<size_t>(1, count);
+  }
+
   /** @return How many of @p engines are left to short prompts. */
   size_t ShortShare(TimePoint now, const EngineProfile& engine,
                     size_t engines) const;
@@ -75,10 +85,24 @@
   Placement PlaceCall(std::vector<Candidate>& candidates) const;
   Placement PlacePrompt(TimePoint now, const PlacementRequest& request,
                         std::vector<Candidate>& candidates) const;
+  Placement PlaceShort(const PlacementRequest& request,
+                       std::vector<Candidate> zone) const;
+  Placement PlaceLong(const PlacementRequest& request,
+                      std::vector<Candidate> zone) const;
+  size_t OwnerShare(const EngineProfile& engine, size_t engines) const;
+  static bool HasRoom(const EngineProfile& engine, const Candidate& candidate,
+                      int64_t tokens);
+  static double WaitMs(const EngineProfile& engine, const Candidate& candidate,
+                       int64_t tokens);
+  static void AddHelpers(const std::vector<Candidate>& helpers, size_t count,
+                         double part_ms, Placement& placement);
   static void Reserve(const EngineProfile& engine,
                       const PlacementRequest& request,
-                      const std::vector<Candidate>& zone, Placement& placement);
+                      const std::vector<Candidate>& helpers,
+                      Placement& placement);
 
+  size_t index_ = 0;                  ///< Of this gateway among all.
+  size_t count_ = 1;                  ///< Gateways.
   DataCentreId own_;                  ///< Of this gateway.
   const TargetDirectory& directory_;  ///< Targets.
   const LoadLedger& ledger_;          ///< Their work.
--- a/src/protocol/registry_messages.h
+++ b/src/protocol/registry_messages.h
@@ -83,6 +83,7 @@
   std::vector<TargetLoadRow> rows_;  ///< Targets with work.
   int64_t short_streams_ = 0;        ///< Streams of short prompts in progress.
   int64_t long_prefill_ms_ = 0;      ///< Prefill of long prompts, last second.
+  int64_t long_tokens_ = 0;          ///< KV memory of long prompts in progress.
 };
 
 }  // namespace gv
--- a/src/transport/gateway/caller_connection.h
+++ b/src/transport/gateway/caller_connection.h
@@ -84,8 +84,8 @@
   std::string Head(unsigned status, const HttpFields& fields) const;
 
   boost::asio::ip::tcp::socket socket_;  ///< The connection.
-  GatewayBounds bounds_;                  ///< What the caller may send.
-  GatewayCallerHooks hooks_;                    ///< To the owner.
+  GatewayBounds bounds_;                 ///< What the caller may send.
+  GatewayCallerHooks hooks_;             ///< To the owner.
   std::optional<Parser> parser_;         ///< Of the request.
   std::string input_;                    ///< Read, not yet parsed.
   std::string output_;                   ///< To be written next.
--- a/src/transport/gateway/forward.cc
+++ b/src/transport/gateway/forward.cc
@@ -17,6 +17,8 @@
 /** An answer must be with the caller before its deadline: one way to it, a
  * tick, and the time of a busy machine. */
 constexpr Duration kAnswerMargin = 80_ms;
+/** Other gateways take the request at once. */
+constexpr Duration kOtherGatewayRetry = 20_ms;
 /** The lease comes back after an election or a poll. */
 constexpr Duration kLeaseRetry = 1_s;
 
@@ -40,6 +42,10 @@
 bool Forward::Admit() {
   const TimePoint now = gateway_.Now();
   const RoutingTable* table = gateway_.Table();
+  if (!gateway_.TakesRequests()) {
+    Refuse(kUnavailable, "stopping", kOtherGatewayRetry);
+    return false;
+  }
   if (table == nullptr || !gateway_.Registry().HasLease(now)) {
     Refuse(kUnavailable, table == nullptr ? "no-configuration" : "no-lease",
            kLeaseRetry);
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -72,7 +72,7 @@
 
   // forward_attempt.cc: placing, sending, outcomes.
   void TryTarget();
-  bool IsHopeless(const Placement& placement) const;
+  bool MayBeInTime(const Placement& placement) const;
   void SendTo(const Placement& placement);
   std::string BuildRequest(const Placement& placement) const;
   std::vector<std::string> HelperList(const Placement& placement) const;
@@ -119,11 +119,14 @@
   std::optional<Attempt> attempt_;  ///< In progress.
   std::optional<WorkId> work_;      ///< In the ledger.
   std::vector<TargetId> tried_;     ///< Targets that failed it.
+  size_t helpers_ = 0;              ///< Of the newest attempt.
   int64_t sent_ = 0;                ///< Attempts sent.
   int64_t may_have_run_ = 0;        ///< Of them.
   EventSplitter events_;            ///< Of a stream.
   bool answer_begun_ = false;       ///< Parts were written.
   bool ended_ = false;              ///< Nothing more to do.
+  TimePoint last_event_;            ///< When the caller got the newest.
+  Duration longest_pause_;          ///< Between two events.
   TimePoint first_event_;           ///< When the caller got it.
 
   std::optional<Placement> reserving_;  ///< Waits for its tickets.
--- a/src/transport/gateway/forward_answer.cc
+++ b/src/transport/gateway/forward_answer.cc
@@ -11,9 +11,16 @@
 /** Bytes that a caller may leave unread before its target is held back. */
 constexpr size_t kMostUnsent = 256UL << 10;
 /** An engine that goes on with an answer is silent for a few passes at most. */
-constexpr Duration kLeastPause = 1_s;
+constexpr Duration kLeastPause = 1500_ms;
 constexpr int64_t kPausesOfPatience = 5;
 constexpr int64_t kHalves = 2;
+/** Without a registration for this time a target has missed two of them. */
+constexpr Duration kStaleRegistration = 2800_ms;
+/** Silence after which a target that registers no more is left. */
+constexpr Duration kStalePatience = 500_ms;
+/** Before the first event: callers of short streams go away after two seconds.
+ */
+constexpr Duration kLeastFirst = 1200_ms;
 /** A call that takes twice its objective has probably met a target that
  * hangs. */
 constexpr int64_t kObjectivesOfCall = 2;
@@ -28,6 +35,9 @@
 
 void Forward::BeginAnswer() {
   answer_begun_ = true;
+  if (work_) {
+    gateway_.Ledger().FirstEvent(*work_);
+  }
   first_event_ = gateway_.Now();
   caller_->BeginParts(attempt_->status_, AnswerFields(), gateway_.IsStopping());
   gateway_.ObserveFirstEvent(route_.kind_, first_event_ - arrived_);
@@ -39,6 +49,11 @@
     if (!answer_begun_) {
       BeginAnswer();
     }
+    const TimePoint now = gateway_.Now();
+    if (last_event_ != TimePoint()) {
+      longest_pause_ = std::max(longest_pause_, now - last_event_);
+    }
+    last_event_ = now;
     caller_->Part(events);
   }
   if (ended_ || !attempt_) {
@@ -65,7 +80,10 @@
       "status=" + std::to_string(attempt_->status_) +
           " events=" + std::to_string(events_.Count()) +
           " first_ms=" + std::to_string((first_event_ - arrived_).Ms()) +
+          " pause_ms=" + std::to_string(longest_pause_.Ms()) +
           " total_ms=" + std::to_string((gateway_.Now() - arrived_).Ms()) +
+          " prompt=" + std::to_string(facts_.prompt_tokens_) +
+          " helpers=" + std::to_string(helpers_) +
           " predicted_ms=" + std::to_string(int64_t(attempt_->predicted_ms_)));
   gateway_.Count(route_.kind_, "finished");
   const auto connection = std::move(attempt_->connection_);
@@ -93,12 +111,18 @@
   if (route_.kind_ == RouteKind::kSafe) {
     return std::max(route_.objective_ * kObjectivesOfCall, Duration(200));
   }
+  const DirectoryEntry* entry =
+      gateway_.Registry().Targets().Find(attempt_->target_);
+  if (entry == nullptr || gateway_.Now() - entry->heard_ > kStaleRegistration) {
+    return kStalePatience;
+  }
   if (answer_begun_) {
-    return std::max(kLeastPause,
-                    route_.pause_objective_ * kPausesOfPatience / kHalves);
+    return std::max(kLeastPause, route_.pause_objective_ * kPausesOfPatience);
   }
   const Duration predicted(static_cast<int64_t>(attempt_->predicted_ms_));
-  return std::max(kLeastPause, route_.objective_) + predicted;
+  return std::max(kLeastFirst,
+                  route_.objective_ * kPausesOfPatience / kHalves) +
+         predicted;
 }
 
 void Forward::CheckProgress(TimePoint now) {
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -26,9 +26,16 @@
 constexpr Duration kNoTargetRetry = 1_s;
 /** Targets that say nothing of idle connections keep them for this long. */
 constexpr Duration kDefaultKeepAlive = 5_s;
-/** Callers of streams go away after a silence of so many objectives. */
-constexpr int64_t kObjectivesOfPatience = 4;
-constexpr Duration kLeastPatience = 2_s;
+/** A caller that comes back after a refusal has used so much of its time. */
+constexpr Duration kReturnedAfter = 700_ms;
+/** Callers go away after four objectives without an event. */
+constexpr int64_t kObjectivesOfReturned = 3;
+/** Work that waits now is done after about its wait; twice that leaves room for
+ * what else arrives. */
+constexpr int64_t kWaitsUntilRetry = 2;
+constexpr Duration kLeastRetry = 800_ms;
+/** Callers follow at most a third of the time that they have left. */
+constexpr Duration kMostRetry = 2500_ms;
 
 /** Headers of one connection only, beside those named in Connection. */
 constexpr std::array<std::string_view, 8> kHopHeaders{
@@ -65,9 +72,10 @@
     FinishWithout(AttemptEnd{RunState::kNotRun, false}, "no-target");
     return;
   }
-  if (sent_ == 0 && IsHopeless(*placement)) {
-    Refuse(kUnavailable, "overloaded",
-           Duration(static_cast<int64_t>(placement->wait_ms_ / 2)));
+  if (sent_ == 0 && !MayBeInTime(*placement)) {
+    const Duration wait(static_cast<int64_t>(placement->wait_ms_));
+    Refuse(kUnavailable, "overloaded wait_ms=" + std::to_string(wait.Ms()),
+           std::clamp(wait * kWaitsUntilRetry, kLeastRetry, kMostRetry));
     return;
   }
   if (!placement->reservations_.empty()) {
@@ -77,12 +85,18 @@
   SendTo(*placement);
 }
 
-bool Forward::IsHopeless(const Placement& placement) const {
-  const Duration patience =
-      std::max(kLeastPatience, route_.objective_ * kObjectivesOfPatience);
-  const Duration most = std::min(patience, TimeLeft());
-  return placement.wait_ms_ < 1e5 &&
-         placement.wait_ms_ > static_cast<double>(most.Ms());
+bool Forward::MayBeInTime(const Placement& placement) const {
+  if (!IsPrompt() || route_.objective_ <= Duration()) {
+    return true;
+  }
+  // A caller that was refused before has missed its objective already; it is
+  // served rather than refused again.
+  const bool returned = facts_.deadline_.value_or(route_.timeout_) <
+                        route_.timeout_ - kReturnedAfter;
+  const Duration most = std::min(
+      returned ? route_.objective_ * kObjectivesOfReturned : route_.objective_,
+      TimeLeft());
+  return placement.wait_ms_ <= static_cast<double>(most.Ms());
 }
 
 void Forward::SendTo(const Placement& placement) {
@@ -103,6 +117,7 @@
   attempt.predicted_ms_ = placement.wait_ms_;
   attempt_ = std::move(attempt);
   work_ = gateway_.Ledger().Begin(now, placement.work_);
+  helpers_ = placement.helpers_.size();
   ++sent_;
   ++may_have_run_;
   Log(EventId::kForwardSent,
--- a/src/transport/gateway/gateway.cc
+++ b/src/transport/gateway/gateway.cc
@@ -23,6 +23,9 @@
 /** The balancer takes a gateway out after two misses, one a second; new
  * connections may come a little later. */
 constexpr Duration kAnnounce = 4_s;
+/** New requests are taken on for this time of a planned stop; by then the
+ * balancer has noticed it, and what was taken still ends within the grace. */
+constexpr Duration kTakeOn = 2800_ms;
 /** Kept of the grace time for the exit itself. */
 constexpr Duration kStopMargin = 600_ms;
 constexpr int kExitStartFailed = 1;
@@ -270,6 +273,10 @@
   Record(event);
 }
 
+bool Gateway::TakesRequests() const {
+  return !stopping_ || Now() - stop_begun_ < kTakeOn;
+}
+
 void Gateway::CheckStop(TimePoint now) {
   if (!stopping_) {
     return;
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -62,6 +62,8 @@
   TargetPool& Pool() { return pool_; }
   RetryWindow& Retries(const std::string& service);
   bool IsStopping() const { return stopping_; }
+  /** @return False once a planned stop leaves no time for new requests. */
+  bool TakesRequests() const;
   /** Takes in what an attempt says of a target's health. */
   void OnOutcome(const TargetId& target, HealthOutcome outcome);
   /** Forgets a request. */
--- a/src/transport/gateway/gateway_registry.cc
+++ b/src/transport/gateway/gateway_registry.cc
@@ -1,5 +1,6 @@
 /** @file gateway_registry.cc Feeds the registry core and carries out its
  * actions. */
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/outcome/try.hpp>
 #include <iostream>
@@ -174,13 +175,19 @@
   }
   const auto nodes = static_cast<int64_t>(registry_.NodeCount());
   next_load_ = now + std::max(kLoadPeriod, kLoadPeriodPerNode * nodes);
+  const std::vector<NodeId> others = registry_.OtherNodes();
+  const auto before =
+      std::count_if(others.begin(), others.end(),
+                    [this](const NodeId& node) { return node < self_; });
+  placer_.SetPosition(static_cast<size_t>(before), others.size() + 1);
+  ledger_.SettleOverdue(now);
   GatewayLoad load = ledger_.Own(now);
   const bool empty = load.rows_.empty();
   if (empty && load_sent_empty_) {
     return;
   }
   load_sent_empty_ = empty;
-  for (const NodeId& node : registry_.OtherNodes()) {
+  for (const NodeId& node : others) {
     peers_->SetAddress(node, node.Value());
     peers_->Send(
         Envelope{{self_, Port::kControl}, {node, Port::kControl}, {}, load});
--- a/src/transport/gateway/line_log.cc
+++ b/src/transport/gateway/line_log.cc
@@ -14,7 +14,7 @@
 
 /** Lines a second by level (debug, info, warning, error): a gateway of a tenth
  * of a core serves some ten requests a second and spends under 3% on lines. */
-constexpr std::array<double, 4> kLinesPerSecond{30, 60, 60, 60};
+constexpr std::array<double, 4> kLinesPerSecond{3000, 60, 60, 60};
 /** Lines that may come at once, in seconds of the rate. */
 constexpr double kBurstSeconds = 4;
 constexpr double kMsPerSecond = 1000;
