--- /dev/null
+++ b/src/coordination/gateway/long_prompt_scheduler.cc
@@ -0,0 +1,152 @@
+/** @file long_prompt_scheduler.cc Queue of long prompts by due time. */
+#include "coordination/gateway/long_prompt_scheduler.h"
+
+#include <algorithm>
+
+#include "coordination/gateway/engine_model.h"
+
+namespace gv {
+namespace {
+
+/** A placed prompt of a lost gateway is forgotten after the longest deadline.
+ */
+constexpr Duration kGrantMemory = 30_s;
+/** From the grant to the first event, beside the prefill: three ways between
+ * data centres and a pass. */
+constexpr double kStartMs = 90;
+/** Readers pause between two parts for a part of the time. */
+constexpr double kReaderUse = 0.85;
+
+}  // namespace
+
+PlacementRequest LongPromptScheduler::RequestOf(const Queued& queued) {
+  PlacementRequest request;
+  request.service_ = &queued.service_;
+  request.prompt_tokens_ = queued.ask_.prompt_tokens_;
+  request.answer_tokens_ = queued.ask_.answer_tokens_;
+  request.tried_ = queued.ask_.tried_;
+  return request;
+}
+
+double LongPromptScheduler::OpenMs() const {
+  double sum = 0;
+  for (const auto& [key, prefill_ms] : reading_) {
+    sum += prefill_ms;
+  }
+  return sum;
+}
+
+double LongPromptScheduler::WaitMs(TimePoint now, const Queued& queued,
+                                   double ahead_ms) const {
+  const auto readers =
+      static_cast<double>(placer_.ReaderCount(now, RequestOf(queued)));
+  return (ahead_ms + queued.prefill_ms_) / readers / kReaderUse + kStartMs;
+}
+
+void LongPromptScheduler::OnAsk(TimePoint now, const NodeId& gateway,
+                                const LongPromptAsk& ask,
+                                const Service* service) {
+  if (service == nullptr || !service->engine_) {
+    replies_.push_back({gateway, LongPromptRefused{ask.operation_, {}}});
+    return;
+  }
+  Queued queued;
+  queued.key_ = Key(gateway, ask.operation_);
+  queued.ask_ = ask;
+  queued.service_ = *service;
+  queued.asked_ = now;
+  queued.due_ = now + ask.objective_;
+  queued.give_up_ = now + ask.give_up_;
+  queued.prefill_ms_ = PrefillMs(*service->engine_, ask.prompt_tokens_);
+  double ahead_ms = OpenMs();
+  for (const Queued& other : queue_) {
+    ahead_ms += other.due_ <= queued.due_ ? other.prefill_ms_ : 0;
+  }
+  const double wait_ms = WaitMs(now, queued, ahead_ms);
+  if (wait_ms > static_cast<double>(ask.objective_.Ms())) {
+    Refuse(queued, wait_ms);
+    return;
+  }
+  const auto place = std::upper_bound(
+      queue_.begin(), queue_.end(), queued,
+      [](const Queued& a, const Queued& b) { return a.due_ < b.due_; });
+  queue_.insert(place, std::move(queued));
+  OnTick(now);
+}
+
+void LongPromptScheduler::OnStep(TimePoint now, const NodeId& gateway,
+                                 const LongPromptStep& step) {
+  const Key key(gateway, step.operation_);
+  reading_.erase(key);
+  std::erase_if(queue_,
+                [&key](const Queued& queued) { return queued.key_ == key; });
+  const auto found = granted_.find(key);
+  if (found == granted_.end()) {
+    return;
+  }
+  if (step.ended_) {
+    ledger_.End(found->second.work_);
+    granted_.erase(found);
+  } else {
+    ledger_.FirstEvent(found->second.work_);
+  }
+  OnTick(now);
+}
+
+void LongPromptScheduler::Refuse(const Queued& queued, double wait_ms) {
+  replies_.push_back(
+      {queued.key_.first,
+       LongPromptRefused{queued.ask_.operation_,
+                         Duration(static_cast<int64_t>(wait_ms))}});
+}
+
+void LongPromptScheduler::Grant(TimePoint now, const Queued& queued,
+                                const Placement& placement) {
+  LongPromptPlaced placed;
+  placed.operation_ = queued.ask_.operation_;
+  placed.target_ = placement.target_;
+  placed.helpers_ = placement.helpers_;
+  placed.reservations_ = placement.reservations_;
+  placed.part_ms_ = static_cast<int64_t>(placement.work_.parts_.front().ms_);
+  placed.wait_ms_ = static_cast<int64_t>(placement.wait_ms_);
+  placed.queued_ms_ = (now - queued.asked_).Ms();
+  granted_[queued.key_] =
+      Granted{ledger_.Begin(now, placement.work_), now + kGrantMemory};
+  reading_[queued.key_] = queued.prefill_ms_;
+  replies_.push_back({queued.key_.first, std::move(placed)});
+}
+
+void LongPromptScheduler::OnTick(TimePoint now) {
+  ledger_.SettleOverdue(now);
+  for (auto it = granted_.begin(); it != granted_.end();) {
+    if (now < it->second.until_) {
+      ++it;
+      continue;
+    }
+    ledger_.End(it->second.work_);
+    reading_.erase(it->first);
+    it = granted_.erase(it);
+  }
+  for (size_t i = 0; i < queue_.size();) {
+    const Queued& queued = queue_[i];
+    if (now >= queued.due_ || now >= queued.give_up_) {
+      Refuse(queued, WaitMs(now, queued, OpenMs()));
+      queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
+      continue;
+    }
+    const std::optional<Placement> placement =
+        placer_.PlaceLongNow(now, RequestOf(queued), ledger_);
+    if (!placement) {
+      ++i;
+      continue;
+    }
+    Grant(now, queued, *placement);
+    queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
+  }
+}
+
+std::vector<SchedulerReply> LongPromptScheduler::TakeReplies() {
+  return std::exchange(replies_, {});
+}
+
+}  // namespace gv
--- a/src/coordination/gateway/placement.cc
+++ b/src/coordination/gateway/placement.cc
@@ -40,6 +40,10 @@
 constexpr double kSuspectedMs = 1e6;
 /** Puts engines without room behind all that have some. */
 constexpr double kNoRoomMs = 1e5;
+/** A reader with so much left takes the next part without a pause. */
+constexpr double kReaderFreeMs = 100;
+/** For each short stream that still writes at an engine. */
+constexpr double kLeftOverMs = 10;
 /** What a failed request costs: about its objective. */
 constexpr double kFailureMs = 300;
 /** A stream that writes makes each pass a little longer. */
@@ -53,7 +57,8 @@
 }  // namespace
 
 std::vector<Placer::Candidate> Placer::Candidates(
-    TimePoint now, const PlacementRequest& request) const {
+    TimePoint now, const PlacementRequest& request,
+    const LoadLedger& ledger) const {
   std::vector<Candidate> candidates;
   for (const auto& [id, entry] : directory_.All()) {
     const bool tried = std::find(request.tried_.begin(), request.tried_.end(),
@@ -62,7 +67,7 @@
         entry.target_.state_ != RegistrationState::kReady) {
       continue;
     }
-    Candidate candidate{&entry, ledger_.At(id), OrderOf(id), 0};
+    Candidate candidate{&entry, ledger.At(id), OrderOf(id), 0};
     if (entry.target_.data_centre_ != own_) {
       candidate.penalty_ms_ += kOtherDataCentreMs;
     }
@@ -81,7 +86,7 @@
 
 std::optional<Placement> Placer::Place(TimePoint now,
                                        const PlacementRequest& request) const {
-  std::vector<Candidate> candidates = Candidates(now, request);
+  std::vector<Candidate> candidates = Candidates(now, request, ledger_);
   if (candidates.empty()) {
     return std::nullopt;
   }
@@ -216,6 +221,61 @@
   return placement;
 }
 
+bool Placer::IsLong(const PlacementRequest& request) const {
+  return request.service_->engine_ && request.prompt_tokens_ > 0 &&
+         PrefillMs(*request.service_->engine_, request.prompt_tokens_) >
+             kLongPrefillMs;
+}
+
+std::vector<Placer::Candidate> Placer::LongZone(
+    TimePoint now, const PlacementRequest& request) const {
+  std::vector<Candidate> zone = Candidates(now, request, ledger_);
+  std::sort(zone.begin(), zone.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return a.order_ < b.order_;
+            });
+  const size_t border =
+      ShortShare(now, *request.service_->engine_, zone.size());
+  zone.erase(zone.begin(), zone.begin() + static_cast<std::ptrdiff_t>(border));
+  return zone;
+}
+
+size_t Placer::ReaderCount(TimePoint now,
+                           const PlacementRequest& request) const {
+  const size_t zone = LongZone(now, request).size();
+  const size_t owners = OwnerShare(*request.service_->engine_, zone);
+  return std::max<size_t>(1, zone - std::min(zone, owners));
+}
+
+std::optional<Placement> Placer::PlaceLongNow(TimePoint now,
+                                              const PlacementRequest& request,
+                                              const LoadLedger& granted) const {
+  const EngineProfile& engine = *request.service_->engine_;
+  std::vector<Candidate> zone = LongZone(now, request);
+  if (zone.empty()) {
+    return std::nullopt;
+  }
+  size_t free = 0;
+  const size_t owners = OwnerShare(engine, zone.size());
+  for (size_t i = 0; i < zone.size(); ++i) {
+    // Streams that were here before the border moved are slowed by reading.
+    const int64_t all = zone[i].load_.requests_;
+    zone[i].load_ = granted.At(zone[i].entry_->target_.id_);
+    zone[i].penalty_ms_ += kLeftOverMs * static_cast<double>(std::max<int64_t>(
+                                             0, all - zone[i].load_.requests_));
+    free += i >= owners && zone[i].load_.prefill_ms_ <= kReaderFreeMs ? 1 : 0;
+  }
+  const size_t readers = zone.size() - owners;
+  const auto wanted = static_cast<size_t>(
+      HelpersFor(engine, request.prompt_tokens_, kLongPartMs, kMostHelpers));
+  if (free < std::min(wanted, (readers + 1) / 2)) {
+    return std::nullopt;
+  }
+  Placement placement = PlaceLong(request, std::move(zone));
+  placement.work_.wait_ms_ = placement.wait_ms_;
+  return placement;
+}
+
 Placement Placer::PlaceLong(const PlacementRequest& request,
                             std::vector<Candidate> zone) const {
   const EngineProfile& engine = *request.service_->engine_;
@@ -235,10 +295,20 @@
         return rank(a) < rank(b);
       });
   std::sort(middle, zone.end(), [](const Candidate& a, const Candidate& b) {
-    return a.penalty_ms_ + a.load_.prefill_ms_ <
-           b.penalty_ms_ + b.load_.prefill_ms_;
+    const bool a_busy = a.load_.prefill_ms_ > kReaderFreeMs;
+    const bool b_busy = b.load_.prefill_ms_ > kReaderFreeMs;
+    return a_busy != b_busy ? b_busy
+                            : a.penalty_ms_ + a.load_.prefill_ms_ <
+                                  b.penalty_ms_ + b.load_.prefill_ms_;
   });
-  const std::vector<Candidate> readers(middle, zone.end());
+  std::vector<Candidate> readers(middle, zone.end());
+  const auto busy =
+      std::find_if(readers.begin(), readers.end(), [](const Candidate& reader) {
+        return reader.load_.prefill_ms_ > kReaderFreeMs;
+      });
+  if (busy != readers.begin()) {
+    readers.erase(busy, readers.end());
+  }
   const int64_t helpers = HelpersFor(
       engine, request.prompt_tokens_, kLongPartMs,
       std::min<int64_t>(kMostHelpers, static_cast<int64_t>(readers.size())));
--- a/src/coordination/gateway/placement.h
+++ b/src/coordination/gateway/placement.h
@@ -23,12 +23,6 @@
   uint64_t hash_ = 0;                 ///< Breaks ties.
 };
 
-/** Memory to be reserved at one engine. */
-struct ReservationPlan {
-  TargetId target_;     ///< The engine.
-  int64_t tokens_ = 0;  ///< How much.
-};
-
 /** Where a request goes. */
 struct Placement {
   TargetId target_;                            ///< Gets the request.
@@ -57,6 +51,22 @@
         ledger_(ledger),
         health_(health) {}
 
+  /** @return True if the engines read this prompt together. */
+  bool IsLong(const PlacementRequest& request) const;
+
+  /**
+   * Places a long prompt by work that @p granted knows, if enough readers are
+   * free; an engine reads the newest part first, so that parts which pile up
+   * at it would wait for ever.
+   * @return Where to send it, or nothing for now.
+   */
+  std::optional<Placement> PlaceLongNow(TimePoint now,
+                                        const PlacementRequest& request,
+                                        const LoadLedger& granted) const;
+
+  /** @return Engines that read long prompts, at least 1. */
+  size_t ReaderCount(TimePoint now, const PlacementRequest& request) const;
+
   /** @return Where to send a request, or nothing if no target may take it. */
   std::optional<Placement> Place(TimePoint now,
                                  const PlacementRequest& request) const;
@@ -81,7 +91,8 @@
   };
 
   std::vector<Candidate> Candidates(TimePoint now,
-                                    const PlacementRequest& request) const;
+                                    const PlacementRequest& request,
+                                    const LoadLedger& ledger) const;
   Placement PlaceCall(std::vector<Candidate>& candidates) const;
   Placement PlacePrompt(TimePoint now, const PlacementRequest& request,
                         std::vector<Candidate>& candidates) const;
@@ -89,6 +100,8 @@
                        std::vector<Candidate> zone) const;
   Placement PlaceLong(const PlacementRequest& request,
                       std::vector<Candidate> zone) const;
+  std::vector<Candidate> LongZone(TimePoint now,
+                                  const PlacementRequest& request) const;
   size_t OwnerShare(const EngineProfile& engine, size_t engines) const;
   static bool HasRoom(const EngineProfile& engine, const Candidate& candidate,
                       int64_t tokens);
--- a/src/coordination/gateway/registry_core.h
+++ b/src/coordination/gateway/registry_core.h
@@ -63,6 +63,8 @@
   /** @return All gateways known, without this one. */
   std::vector<NodeId> OtherNodes() const;
   const NodeId& Leader() const { return leader_; }
+  /** @return When the leader last granted a lease. */
+  TimePoint LeaderHeard() const { return leader_heard_; }
   const ReplicaCore* Replica() const { return replica_ ? &*replica_ : nullptr; }
 
  private:
--- a/src/protocol/message.cc
+++ b/src/protocol/message.cc
@@ -88,5 +88,9 @@
 template Message::Message(ReadForward);
 template Message::Message(ReadOutcome);
 template Message::Message(GatewayLoad);
+template Message::Message(LongPromptAsk);
+template Message::Message(LongPromptPlaced);
+template Message::Message(LongPromptRefused);
+template Message::Message(LongPromptStep);
 
 }  // namespace gv
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -51,7 +51,8 @@
     ClaimFinish, ClaimFinished, GroupRequest, GroupReply, GroupRenew, GroupHold,
     GroupHeld, TargetReserve, TargetReserved, RegistryPoll, RegistryStatus,
     ConfigurationPush, TargetGossip, ChangeForward, ChangeOutcome, ReadForward,
-    ReadOutcome, GatewayLoad>;
+    ReadOutcome, GatewayLoad, LongPromptAsk, LongPromptPlaced,
+    LongPromptRefused, LongPromptStep>;
 
 /** True for the types that are alternatives of Variant. */
 template <class T, class Variant>
--- a/src/protocol/registry_messages.h
+++ b/src/protocol/registry_messages.h
@@ -86,4 +86,44 @@
   int64_t long_tokens_ = 0;          ///< KV memory of long prompts in progress.
 };
 
+/** A gateway to the leader: a long prompt wants engines. */
+struct LongPromptAsk {
+  OperationId operation_;        ///< Chosen by the gateway.
+  std::string service_;          ///< Where to.
+  int64_t prompt_tokens_ = 0;    ///< To be read.
+  int64_t answer_tokens_ = 0;    ///< To be written, at most.
+  Duration objective_;           ///< Time left until the first event is late.
+  Duration give_up_;             ///< Time left until nobody waits.
+  std::vector<TargetId> tried_;  ///< Targets that failed it.
+};
+
+/** Memory to be reserved at one engine. */
+struct ReservationPlan {
+  TargetId target_;     ///< The engine.
+  int64_t tokens_ = 0;  ///< How much.
+};
+
+/** The leader to a gateway: the prompt may be sent now. */
+struct LongPromptPlaced {
+  OperationId operation_;                      ///< Copied.
+  TargetId target_;                            ///< Gets the request.
+  std::vector<TargetId> helpers_;              ///< Read parts of the prompt.
+  std::vector<ReservationPlan> reservations_;  ///< For prompts that don't fit.
+  int64_t part_ms_ = 0;    ///< Predicted prefill at each engine.
+  int64_t wait_ms_ = 0;    ///< Predicted time to the first event.
+  int64_t queued_ms_ = 0;  ///< Time spent at the leader.
+};
+
+/** The leader to a gateway: the prompt can't be read in time. */
+struct LongPromptRefused {
+  OperationId operation_;  ///< Copied.
+  Duration wait_;          ///< Predicted.
+};
+
+/** A gateway to the leader: how a placed prompt goes on. */
+struct LongPromptStep {
+  OperationId operation_;  ///< Of the ask.
+  bool ended_ = false;     ///< True at its end, false at its first event.
+};
+
 }  // namespace gv
--- a/src/transport/gateway/forward.cc
+++ b/src/transport/gateway/forward.cc
@@ -160,6 +160,7 @@
     gateway_.Ledger().End(*work_);
     work_.reset();
   }
+  LeaveLeader();
   ReleaseTickets();
   gateway_.OnForwardEnded(*this);
 }
@@ -189,6 +190,10 @@
     }
     return;
   }
+  CheckLeader(now);
+  if (ended_) {
+    return;
+  }
   RenewTickets(now);
   CheckProgress(now);
 }
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -10,6 +10,7 @@
 #include "coordination/gateway/attempt_policy.h"
 #include "coordination/gateway/event_splitter.h"
 #include "coordination/gateway/placement.h"
+#include "protocol/message.h"
 #include "state/event_type.h"
 #include "transport/gateway/caller_connection.h"
 #include "transport/gateway/target_connection.h"
@@ -97,6 +98,13 @@
   Duration Patience() const;
   void CheckProgress(TimePoint now);
 
+  // forward_long.cc: long prompts wait for their turn at the leader.
+  bool AskLeader(const PlacementRequest& wanted);
+  void OnLeaderAnswer(const Message& answer);
+  void CheckLeader(TimePoint now);
+  void LeaveLeader();
+  bool HasReturned() const;
+
   // forward_reserve.cc: memory for prompts that do not fit one engine.
   void Reserve(const Placement& placement);
   void OnReserved(size_t index, bool granted);
@@ -129,6 +137,10 @@
   Duration longest_pause_;          ///< Between two events.
   TimePoint first_event_;           ///< When the caller got it.
 
+  bool asked_leader_ = false;       ///< Only once for each request.
+  std::optional<OperationId> ask_;  ///< Open at the leader.
+  TimePoint leader_answer_by_;      ///< When to go on without it.
+
   std::optional<Placement> reserving_;  ///< Waits for its tickets.
   std::vector<Ticket> tickets_;         ///< Of this request.
   size_t tickets_open_ = 0;             ///< Not answered yet.
--- a/src/transport/gateway/forward_answer.cc
+++ b/src/transport/gateway/forward_answer.cc
@@ -38,6 +38,9 @@
   if (work_) {
     gateway_.Ledger().FirstEvent(*work_);
   }
+  if (ask_) {
+    gateway_.StepLong(*ask_, false);
+  }
   first_event_ = gateway_.Now();
   caller_->BeginParts(attempt_->status_, AnswerFields(), gateway_.IsStopping());
   gateway_.ObserveFirstEvent(route_.kind_, first_event_ - arrived_);
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -66,6 +66,9 @@
   wanted.prompt_tokens_ = IsPrompt() ? facts_.prompt_tokens_ : 0;
   wanted.answer_tokens_ = facts_.answer_tokens_;
   wanted.tried_ = tried_;
+  if (AskLeader(wanted)) {
+    return;
+  }
   std::optional<Placement> placement =
       gateway_.GetPlacer().Place(gateway_.Now(), wanted);
   if (!placement) {
@@ -85,17 +88,21 @@
   SendTo(*placement);
 }
 
+bool Forward::HasReturned() const {
+  return facts_.deadline_.value_or(route_.timeout_) <
+         route_.timeout_ - kReturnedAfter;
+}
+
 bool Forward::MayBeInTime(const Placement& placement) const {
   if (!IsPrompt() || route_.objective_ <= Duration()) {
     return true;
   }
   // A caller that was refused before has missed its objective already; it is
   // served rather than refused again.
-  const bool returned = facts_.deadline_.value_or(route_.timeout_) <
-                        route_.timeout_ - kReturnedAfter;
-  const Duration most = std::min(
-      returned ? route_.objective_ * kObjectivesOfReturned : route_.objective_,
-      TimeLeft());
+  const Duration most =
+      std::min(HasReturned() ? route_.objective_ * kObjectivesOfReturned
+                             : route_.objective_,
+               TimeLeft());
   return placement.wait_ms_ <= static_cast<double>(most.Ms());
 }
 
@@ -316,6 +323,7 @@
           " events=" + std::to_string(events_.Count()));
   attempt_.reset();
   events_.Restart();
+  LeaveLeader();
   ReleaseTickets();
   TryTarget();
 }
--- /dev/null
+++ b/src/transport/gateway/forward_long.cc
@@ -0,0 +1,100 @@
+/** @file forward_long.cc A long prompt waits for its turn at the leader. */
+#include <algorithm>
+
+#include "transport/gateway/forward.h"
+#include "transport/gateway/gateway.h"
+
+namespace gv {
+namespace {
+
+constexpr unsigned kUnavailable = 503;
+/** Callers follow at most a third of the time that they have left. */
+constexpr Duration kLeastRetry = 1_s;
+constexpr Duration kMostRetry = 4_s;
+/** Part of the objective after which a leader that says nothing is given up.
+ */
+constexpr int64_t kLeaderPart = 2;
+constexpr int64_t kThird = 3;
+
+}  // namespace
+
+bool Forward::AskLeader(const PlacementRequest& wanted) {
+  if (asked_leader_ || !gateway_.CanAskLeader() ||
+      !gateway_.GetPlacer().IsLong(wanted)) {
+    return false;
+  }
+  asked_leader_ = true;
+  const TimePoint now = gateway_.Now();
+  const Duration spent = now - arrived_;
+  LongPromptAsk ask;
+  ask.service_ = service_.name_;
+  ask.prompt_tokens_ = wanted.prompt_tokens_;
+  ask.answer_tokens_ = wanted.answer_tokens_;
+  ask.tried_ = tried_;
+  // A caller that was refused before is late already: it gets longer.
+  ask.objective_ =
+      (HasReturned() ? route_.objective_ * kThird : route_.objective_) - spent;
+  ask.give_up_ = limit_ - now;
+  ask.objective_ = std::min(ask.objective_, ask.give_up_);
+  leader_answer_by_ =
+      now + std::max(route_.objective_, ask.objective_) / kLeaderPart + 500_ms;
+  const auto self = shared_from_this();
+  ask_ = gateway_.AskLong(std::move(ask), [self](const Message& answer) {
+    self->OnLeaderAnswer(answer);
+  });
+  return true;
+}
+
+void Forward::OnLeaderAnswer(const Message& answer) {
+  if (ended_ || attempt_) {
+    return;
+  }
+  leader_answer_by_ = TimePoint();
+  if (const auto* refused = std::get_if<LongPromptRefused>(&answer)) {
+    ask_.reset();
+    Refuse(kUnavailable,
+           "overloaded wait_ms=" + std::to_string(refused->wait_.Ms()),
+           std::clamp(refused->wait_, kLeastRetry, kMostRetry));
+    return;
+  }
+  const auto* placed = std::get_if<LongPromptPlaced>(&answer);
+  if (placed == nullptr) {
+    return;
+  }
+  Placement placement;
+  placement.target_ = placed->target_;
+  placement.helpers_ = placed->helpers_;
+  placement.reservations_ = placed->reservations_;
+  placement.wait_ms_ = static_cast<double>(placed->wait_ms_);
+  placement.work_.is_short_ = false;
+  placement.work_.wait_ms_ = placement.wait_ms_;
+  const auto part_ms = static_cast<double>(placed->part_ms_);
+  placement.work_.parts_.push_back(PrefillPart{
+      placed->target_, part_ms, facts_.prompt_tokens_ + facts_.answer_tokens_});
+  for (const TargetId& helper : placed->helpers_) {
+    placement.work_.parts_.push_back(PrefillPart{helper, part_ms, 0});
+  }
+  if (placement.reservations_.empty()) {
+    SendTo(placement);
+  } else {
+    Reserve(placement);
+  }
+}
+
+void Forward::CheckLeader(TimePoint now) {
+  if (leader_answer_by_ == TimePoint() || now < leader_answer_by_) {
+    return;
+  }
+  leader_answer_by_ = TimePoint();
+  LeaveLeader();
+  TryTarget();
+}
+
+void Forward::LeaveLeader() {
+  if (ask_) {
+    gateway_.StepLong(*ask_, true);
+    ask_.reset();
+  }
+}
+
+}  // namespace gv
--- a/src/transport/gateway/gateway.cc
+++ b/src/transport/gateway/gateway.cc
@@ -65,6 +65,7 @@
       registry_(MakeRegistrySettings(settings_)),
       placer_(DataCentreId(settings_.data_centre_), registry_.Targets(),
               ledger_, health_),
+      scheduler_(placer_),
       pool_(io_),
       reopen_disk_(TimePoint::Never()),
       acceptor_(io_),
@@ -188,6 +189,8 @@
       Envelope{{self_, Port::kTransport}, {self_, Port::kControl}, {}, Tick{}});
   TickRequests(now);
   TickOrders(now);
+  scheduler_.OnTick(now);
+  SendSchedulerReplies();
   ShareLoad(now);
   NoteDependencies(now);
   if (now >= reopen_disk_) {
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include <unordered_map>
 
 #include "coordination/gateway/load_ledger.h"
+#include "coordination/gateway/long_prompt_scheduler.h"
 #include "coordination/gateway/placement.h"
 #include "coordination/gateway/registry_core.h"
 #include "coordination/gateway/retry_window.h"
@@ -73,6 +74,17 @@
   void Count(RouteKind kind, const char* outcome);
   /** Adds to the histogram of times to the first event. */
   void ObserveFirstEvent(RouteKind kind, Duration time);
+  /** @return True if the leader answers, as far as is known. */
+  bool CanAskLeader() const;
+  /**
+   * Asks the leader for engines for a long prompt.
+   * @param done Gets LongPromptPlaced or LongPromptRefused, if the leader
+   * answers. @return For StepLong.
+   */
+  OperationId AskLong(LongPromptAsk ask,
+                      std::function<void(const Message&)> done);
+  /** Tells the leader how a long prompt goes on. */
+  void StepLong(OperationId operation, bool ended);
   /** Posts an order to a target. @param done Gets its status, or 0. */
   void SendOrder(const std::string& address, const TargetOrder& order,
                  std::function<void(unsigned)> done);
@@ -88,6 +100,11 @@
     unsigned status_ = 0;                           ///< Of the answer.
     std::optional<Duration> keep_alive_;            ///< Of the connection.
   };
+  /** A long prompt that the leader knows of. */
+  struct OpenAsk {
+    NodeId leader_;                             ///< Who was asked.
+    std::function<void(const Message&)> done_;  ///< Until it has answered.
+  };
   /** A reservation that may still stand. */
   struct OpenRelease {
     std::string address_;  ///< Of the target.
@@ -132,6 +149,12 @@
   void OnGetConfiguration(HttpService::Respond done);
   std::string MetricsText();
 
+  // gateway_long.cc: long prompts.
+  void SendToLeader(const NodeId& leader, Message body);
+  bool OnLongMessage(const NodeId& from, const Message& body);
+  void AnswerAsk(OperationId operation, const Message& body);
+  void SendSchedulerReplies();
+
   // gateway_orders.cc: orders to targets.
   void FinishOrder(uint64_t id);
   void TickOrders(TimePoint now);
@@ -146,6 +169,7 @@
   LoadLedger ledger_;                  ///< Work at targets.
   TargetHealth health_;                ///< Failures of targets.
   Placer placer_;                      ///< Chooses targets.
+  LongPromptScheduler scheduler_;      ///< Used while this gateway leads.
   TargetPool pool_;                    ///< Connections to targets.
   std::optional<RoutingTable> table_;  ///< Of the served configuration.
   uint64_t table_version_ = 0;         ///< Of table_.
@@ -169,6 +193,8 @@
       forwards_;  ///< Requests in progress.
   std::map<OperationId, std::function<void(const OperationEnd&)>>
       operations_;                        ///< Operators' calls that wait.
+  OperationId last_ask_;                  ///< For ids of asks.
+  std::map<OperationId, OpenAsk> asks_;   ///< Open at a leader.
   uint64_t last_order_ = 0;               ///< For ids of orders.
   std::map<uint64_t, OpenOrder> orders_;  ///< On their way.
   std::vector<OpenRelease> releases_;     ///< To be sent again.
--- a/src/transport/gateway/gateway_registry.cc
+++ b/src/transport/gateway/gateway_registry.cc
@@ -103,6 +103,9 @@
     ledger_.SetRemote(Now(), envelope.from_.node_, *load);
     return;
   }
+  if (OnLongMessage(envelope.from_.node_, envelope.body_)) {
+    return;
+  }
   Step(envelope);
 }
 
