--- a/src/coordination/gateway/load_ledger.cc
+++ b/src/coordination/gateway/load_ledger.cc
@@ -141,6 +141,25 @@
   return load;
 }
 
+LoadLedger::HomeSpan LoadLedger::HomeOf(const NodeId& self) const {
+  const double own = static_cast<double>(short_streams_) + 1;
+  double before = 0;
+  double sum = own;
+  for (const auto& [gateway, remote] : remote_) {
+    const double weight = static_cast<double>(remote.short_streams_) + 1;
+    sum += weight;
+    before += gateway < self ? weight : 0;
+  }
+  return HomeSpan{before / sum, (before + own) / sum};
+}
+
+bool LoadLedger::IsPicked(const NodeId& self, uint64_t hash) const {
+  const auto before =
+      std::count_if(remote_.begin(), remote_.end(),
+                    [&self](const auto& item) { return item.first < self; });
+  return hash % (remote_.size() + 1) == static_cast<uint64_t>(before);
+}
+
 int64_t LoadLedger::ShortStreams() const {
   int64_t sum = short_streams_;
   for (const auto& [gateway, remote] : remote_) {
--- a/src/coordination/gateway/load_ledger.h
+++ b/src/coordination/gateway/load_ledger.h
@@ -63,6 +63,16 @@
   TargetLoad At(const TargetId& target) const;
   /** @return What this gateway reports to the others. */
   GatewayLoad Own(TimePoint now);
+  /** A part of the engines for short prompts, from 0 to 1. */
+  struct HomeSpan {
+    double begin_ = 0;  ///< Where it begins.
+    double end_ = 1;    ///< Where it ends.
+  };
+  /** @return The part of the engines that gateway @p self uses first; the
+   * parts of all gateways lie side by side and follow their streams. */
+  HomeSpan HomeOf(const NodeId& self) const;
+  /** @return True if @p self is the gateway, out of all, that @p hash picks. */
+  bool IsPicked(const NodeId& self, uint64_t hash) const;
   /** @return Streams of short prompts in progress at all gateways. */
   int64_t ShortStreams() const;
   /** @return Prefill of long prompts begun in the last second at all gateways,
--- a/src/coordination/gateway/placement.cc
+++ b/src/coordination/gateway/placement.cc
@@ -32,8 +32,11 @@
 /** Memory of engines that own long prompts is filled so far on average. */
 constexpr double kOwnerFill = 0.4;
 /** Short prompts go to another gateway's engines only if they start earlier by
- * this time; about the age of the reports. */
-constexpr double kOtherHomeMs = 25;
+ * this time: reports are a little old, and at a crest all gateways would choose
+ * the same engine within one period. */
+constexpr double kOtherHomeMs = 400;
+/** The same for the one gateway that an engine has beside its own. */
+constexpr double kSecondHomeMs = 50;
 /** Costs one way between data centres, as a preference only. */
 constexpr double kOtherDataCentreMs = 4;
 /** Keeps suspected targets behind all others. */
@@ -192,11 +195,15 @@
                              std::vector<Candidate> zone) const {
   const EngineProfile& engine = *request.service_->engine_;
   const int64_t tokens = request.prompt_tokens_ + request.answer_tokens_;
-  const size_t homes = std::min(count_, zone.size());
+  const LoadLedger::HomeSpan home = ledger_.HomeOf(self_);
+  const auto engines = static_cast<double>(zone.size());
   for (size_t i = 0; i < zone.size(); ++i) {
-    if (i % homes != index_ % homes) {
-      zone[i].penalty_ms_ += kOtherHomeMs;
-    }
+    const auto at = static_cast<double>(i);
+    const double overlap = std::min(at + 1, home.end_ * engines) -
+                           std::max(at, home.begin_ * engines);
+    const double cost =
+        ledger_.IsPicked(self_, zone[i].order_) ? kSecondHomeMs : kOtherHomeMs;
+    zone[i].penalty_ms_ += cost * (1 - std::clamp(overlap, 0.0, 1.0));
   }
   const auto score = [&](const Candidate& candidate) {
     return candidate.penalty_ms_ + WaitMs(engine, candidate, tokens) +
--- a/src/coordination/gateway/placement.h
+++ b/src/coordination/gateway/placement.h
@@ -44,9 +44,10 @@
 class Placer {
  public:
   /** @param own Data centre of this gateway. All references must outlive it. */
-  Placer(DataCentreId own, const TargetDirectory& directory,
+  Placer(NodeId self, DataCentreId own, const TargetDirectory& directory,
          const LoadLedger& ledger, const TargetHealth& health)
-      : own_(std::move(own)),
+      : self_(std::move(self)),
+        own_(std::move(own)),
         directory_(directory),
         ledger_(ledger),
         health_(health) {}
@@ -71,12 +72,6 @@
   std::optional<Placement> Place(TimePoint now,
                                  const PlacementRequest& request) const;
 
-  /** Sets which of how many gateways this one is. */
-  void SetPosition(size_t index, size_t count) {
-    index_ = index;
-    count_ = std::max<size_t>(1, count);
-  }
-
   /** @return How many of @p engines are left to short prompts. */
   size_t ShortShare(TimePoint now, const EngineProfile& engine,
                     size_t engines) const;
@@ -114,8 +109,7 @@
                       const std::vector<Candidate>& helpers,
                       Placement& placement);
 
-  size_t index_ = 0;                  ///< Of this gateway among all.
-  size_t count_ = 1;                  ///< Gateways.
+  NodeId self_;                       ///< This gateway.
   DataCentreId own_;                  ///< Of this gateway.
   const TargetDirectory& directory_;  ///< Targets.
   const LoadLedger& ledger_;          ///< Their work.
--- a/src/coordination/gateway/registry_members.cc
+++ b/src/coordination/gateway/registry_members.cc
@@ -66,7 +66,7 @@
 }
 
 void RegistryCore::Poll(TimePoint now, Outbox& out) {
-  next_poll_ = now + kPollPeriod;
+  next_poll_ = now + (HasLease(now) ? kPollPeriod : kEagerPollPeriod);
   RefreshNodes(now);
   if (MayLead(now)) {
     leader_heard_ = now;
--- a/src/coordination/gateway/registry_type.h
+++ b/src/coordination/gateway/registry_type.h
@@ -15,6 +15,9 @@
 
 /** Between two polls of each member; a lease survives several lost ones. */
 inline constexpr Duration kPollPeriod = 400_ms;
+/** The same while there is no lease, so that service begins at once after a
+ * restart. */
+inline constexpr Duration kEagerPollPeriod = 100_ms;
 /** A poll that is not answered by then is lost. */
 inline constexpr Duration kPollTimeout = 2_s;
 /** Refreshed registrations travel in batches of this period. */
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -26,16 +26,21 @@
 constexpr Duration kNoTargetRetry = 1_s;
 /** Targets that say nothing of idle connections keep them for this long. */
 constexpr Duration kDefaultKeepAlive = 5_s;
-/** A caller that comes back after a refusal has used so much of its time. */
-constexpr Duration kReturnedAfter = 700_ms;
+/** Callers give more than this part, in tenths, of the route's timeout when
+ * they first come; after a refusal they have less left. */
+constexpr int64_t kFreshTenths = 8;
+constexpr int64_t kTenths = 10;
 /** Callers go away after four objectives without an event. */
-constexpr int64_t kObjectivesOfReturned = 3;
+constexpr int64_t kObjectivesOfReturned = 2;
+/** Other gateways have sent work that they have not reported yet; at the
+ * crest of a burst of short prompts it delays a first event by this time. */
+constexpr Duration kLateReports = 60_ms;
 /** Work that waits now is done after about its wait; twice that leaves room for
  * what else arrives. */
 constexpr int64_t kWaitsUntilRetry = 2;
-constexpr Duration kLeastRetry = 800_ms;
+constexpr Duration kLeastRetry = 2_s;
 /** Callers follow at most a third of the time that they have left. */
-constexpr Duration kMostRetry = 2500_ms;
+constexpr Duration kMostRetry = 3_s;
 
 /** Headers of one connection only, beside those named in Connection. */
 constexpr std::array<std::string_view, 8> kHopHeaders{
@@ -90,7 +95,7 @@
 
 bool Forward::HasReturned() const {
   return facts_.deadline_.value_or(route_.timeout_) <
-         route_.timeout_ - kReturnedAfter;
+         route_.timeout_ * kFreshTenths / kTenths;
 }
 
 bool Forward::MayBeInTime(const Placement& placement) const {
@@ -100,6 +105,7 @@
   // A caller that was refused before has missed its objective already; it is
   // served rather than refused again.
   const Duration most =
+      kLateReports * -1 +
       std::min(HasReturned() ? route_.objective_ * kObjectivesOfReturned
                              : route_.objective_,
                TimeLeft());
--- a/src/transport/gateway/forward_long.cc
+++ b/src/transport/gateway/forward_long.cc
@@ -9,7 +9,7 @@
 
 constexpr unsigned kUnavailable = 503;
 /** Callers follow at most a third of the time that they have left. */
-constexpr Duration kLeastRetry = 1_s;
+constexpr Duration kLeastRetry = 2500_ms;
 constexpr Duration kMostRetry = 4_s;
 /** Part of the objective after which a leader that says nothing is given up.
  */
--- a/src/transport/gateway/gateway_registry.cc
+++ b/src/transport/gateway/gateway_registry.cc
@@ -16,17 +16,17 @@
 /** Settings of the replica: a leader is missed after about a second, which
  * leaves two more for an election within the bound of three seconds. */
 constexpr Duration kHeartbeat = 100_ms;
-constexpr Duration kLeaderLease = 600_ms;
-constexpr Duration kElectionMin = 800_ms;
-constexpr Duration kElectionMax = 1500_ms;
+constexpr Duration kLeaderLease = 450_ms;
+constexpr Duration kElectionMin = 600_ms;
+constexpr Duration kElectionMax = 1100_ms;
 constexpr uint64_t kSnapshotEntries = 512;
 constexpr uint64_t kTailEntries = 16;
 constexpr uint64_t kMostUncommitted = 64;
 constexpr Duration kReopenDelay = 700_ms;
 /** Each gateway reports its load this often for each gateway there is, so that
  * the messages of a large fleet stay few. */
-constexpr Duration kLoadPeriodPerNode(15);
-constexpr Duration kLoadPeriod = 100_ms;
+constexpr Duration kLoadPeriodPerNode(6);
+constexpr Duration kLoadPeriod = 50_ms;
 
 }  // namespace
 
@@ -179,10 +179,6 @@
   const auto nodes = static_cast<int64_t>(registry_.NodeCount());
   next_load_ = now + std::max(kLoadPeriod, kLoadPeriodPerNode * nodes);
   const std::vector<NodeId> others = registry_.OtherNodes();
-  const auto before =
-      std::count_if(others.begin(), others.end(),
-                    [this](const NodeId& node) { return node < self_; });
-  placer_.SetPosition(static_cast<size_t>(before), others.size() + 1);
   ledger_.SettleOverdue(now);
   GatewayLoad load = ledger_.Own(now);
   const bool empty = load.rows_.empty();
