Count what long prompts want, not only what they get, when engines are shared out

Cause: refused long prompts did not count as demand, so their part of the engines shrank to one and all later ones were refused too.

--- a/src/coordination/gateway/load_ledger.cc
+++ b/src/coordination/gateway/load_ledger.cc
@@ -19,22 +19,16 @@
 
 WorkId LoadLedger::Begin(TimePoint now, const PlacedWork& work) {
   last_ = last_.Next();
-  double sum = 0;
   for (const PrefillPart& part : work.parts_) {
     OwnLoad& own = own_[part.target_];
     own.prefill_ms_ += part.ms_;
     own.tokens_ += part.tokens_;
-    sum += part.ms_;
   }
   ++own_[work.parts_.front().target_].requests_;
   if (work.is_short_) {
     ++short_streams_;
   } else {
     long_tokens_ += work.parts_.front().tokens_;
-    std::erase_if(long_prefill_, [now](const Span& span) {
-      return now - span.start_ > kRateSpan;
-    });
-    long_prefill_.push_back(Span{now, sum});
   }
   const auto predicted = static_cast<int64_t>(work.wait_ms_);
   work_.emplace(last_, OpenWork{work, now + Duration(predicted) * kOverdue +
@@ -42,6 +36,13 @@
   return last_;
 }
 
+void LoadLedger::NoteLongDemand(TimePoint now, double prefill_ms) {
+  std::erase_if(long_prefill_, [now](const Span& span) {
+    return now - span.start_ > kRateSpan;
+  });
+  long_prefill_.push_back(Span{now, prefill_ms});
+}
+
 void LoadLedger::FirstEvent(WorkId id) {
   const auto found = work_.find(id);
   if (found == work_.end()) {
--- a/src/coordination/gateway/load_ledger.h
+++ b/src/coordination/gateway/load_ledger.h
@@ -45,6 +45,9 @@
  public:
   /** Counts a request. @pre @p work has a part. */
   WorkId Begin(TimePoint now, const PlacedWork& work);
+  /** Counts a long prompt that wants engines, whether it gets them or not.
+   * @param prefill_ms On one engine. */
+  void NoteLongDemand(TimePoint now, double prefill_ms);
   /** The prefill of a request is done. Unknown ids are ignored. */
   void FirstEvent(WorkId id);
   /** A request ended in any way. Unknown ids are ignored. */
@@ -75,8 +78,8 @@
   bool IsPicked(const NodeId& self, uint64_t hash) const;
   /** @return Streams of short prompts in progress at all gateways. */
   int64_t ShortStreams() const;
-  /** @return Prefill of long prompts begun in the last second at all gateways,
-   * in milliseconds. */
+  /** @return Prefill that long prompts at all gateways want in a second, in
+   * milliseconds. */
   double LongPrefillMs(TimePoint now) const;
   /** @return KV memory of long prompts in progress at all gateways. */
   int64_t LongTokens() const;
@@ -101,10 +104,10 @@
     int64_t long_prefill_ms_ = 0;                       ///< In the last second.
     int64_t long_tokens_ = 0;                           ///< In progress there.
   };
-  /** Prefill of long prompts in a short span. */
+  /** Prefill that a long prompt wanted. */
   struct Span {
-    TimePoint start_;  ///< Begin of the span.
-    double ms_ = 0;    ///< Prefill begun in it.
+    TimePoint start_;  ///< When.
+    double ms_ = 0;    ///< How much.
   };
 
   double OwnLongPrefillMs(TimePoint now) const;
--- a/src/coordination/gateway/long_prompt_scheduler.cc
+++ b/src/coordination/gateway/long_prompt_scheduler.cc
@@ -16,6 +16,9 @@
 constexpr double kStartMs = 90;
 /** Readers pause between two parts for a part of the time. */
 constexpr double kReaderUse = 0.85;
+/** A queued prompt is kept while it is this much late at most, as predictions
+ * are not exact. */
+constexpr double kLateMs = 150;
 
 }  // namespace
 
@@ -55,21 +58,21 @@
   queued.ask_ = ask;
   queued.service_ = *service;
   queued.asked_ = now;
-  queued.due_ = now + ask.objective_;
-  queued.give_up_ = now + ask.give_up_;
+  queued.rank_ = now + ask.objective_;
+  queued.due_ = now + ask.latest_;
   queued.prefill_ms_ = PrefillMs(*service->engine_, ask.prompt_tokens_);
   double ahead_ms = OpenMs();
   for (const Queued& other : queue_) {
-    ahead_ms += other.due_ <= queued.due_ ? other.prefill_ms_ : 0;
+    ahead_ms += other.rank_ <= queued.rank_ ? other.prefill_ms_ : 0;
   }
   const double wait_ms = WaitMs(now, queued, ahead_ms);
-  if (wait_ms > static_cast<double>(ask.objective_.Ms())) {
+  if (wait_ms > static_cast<double>(ask.latest_.Ms())) {
     Refuse(queued, wait_ms);
     return;
   }
   const auto place = std::upper_bound(
       queue_.begin(), queue_.end(), queued,
-      [](const Queued& a, const Queued& b) { return a.due_ < b.due_; });
+      [](const Queued& a, const Queued& b) { return a.rank_ < b.rank_; });
   queue_.insert(place, std::move(queued));
   OnTick(now);
 }
@@ -127,21 +130,26 @@
     reading_.erase(it->first);
     it = granted_.erase(it);
   }
+  double ahead_ms = OpenMs();
   for (size_t i = 0; i < queue_.size();) {
     const Queued& queued = queue_[i];
-    if (now >= queued.due_ || now >= queued.give_up_) {
-      Refuse(queued, WaitMs(now, queued, OpenMs()));
+    const std::optional<Placement> placement =
+        placer_.PlaceLongNow(now, RequestOf(queued), ledger_);
+    if (placement) {
+      Grant(now, queued, *placement);
+      ahead_ms += queued.prefill_ms_;
       queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
       continue;
     }
-    const std::optional<Placement> placement =
-        placer_.PlaceLongNow(now, RequestOf(queued), ledger_);
-    if (!placement) {
-      ++i;
+    const double wait_ms = WaitMs(now, queued, ahead_ms);
+    const auto left = static_cast<double>((queued.due_ - now).Ms());
+    if (wait_ms > left + kLateMs) {
+      Refuse(queued, wait_ms);
+      queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
       continue;
     }
-    Grant(now, queued, *placement);
-    queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
+    ahead_ms += queued.prefill_ms_;
+    ++i;
   }
 }
 
--- a/src/coordination/gateway/long_prompt_scheduler.h
+++ b/src/coordination/gateway/long_prompt_scheduler.h
@@ -51,8 +51,8 @@
     LongPromptAsk ask_;      ///< For what.
     Service service_;        ///< As of the ask.
     TimePoint asked_;        ///< When.
-    TimePoint due_;          ///< When its first event is late.
-    TimePoint give_up_;      ///< When nobody waits.
+    TimePoint rank_;         ///< Its place in the queue.
+    TimePoint due_;          ///< When its first event is too late.
     double prefill_ms_ = 0;  ///< On one engine.
   };
   /** A prompt that was placed. */
@@ -69,7 +69,7 @@
 
   const Placer& placer_;                 ///< Chooses engines.
   LoadLedger ledger_;                    ///< Placed prompts only.
-  std::vector<Queued> queue_;            ///< By due_.
+  std::vector<Queued> queue_;            ///< By rank_.
   std::map<Key, Granted> granted_;       ///< Placed, not yet ended.
   std::map<Key, double> reading_;        ///< Prefill of those being read.
   std::vector<SchedulerReply> replies_;  ///< For TakeReplies().
--- a/src/protocol/registry_messages.h
+++ b/src/protocol/registry_messages.h
@@ -88,12 +88,12 @@
 
 /** A gateway to the leader: a long prompt wants engines. */
 struct LongPromptAsk {
-  OperationId operation_;        ///< Chosen by the gateway.
-  std::string service_;          ///< Where to.
-  int64_t prompt_tokens_ = 0;    ///< To be read.
-  int64_t answer_tokens_ = 0;    ///< To be written, at most.
-  Duration objective_;           ///< Time left until the first event is late.
-  Duration give_up_;             ///< Time left until nobody waits.
+  OperationId operation_;      ///< Chosen by the gateway.
+  std::string service_;        ///< Where to.
+  int64_t prompt_tokens_ = 0;  ///< To be read.
+  int64_t answer_tokens_ = 0;  ///< To be written, at most.
+  Duration objective_;  ///< Prompts go on in the order of this time from now.
+  Duration latest_;     ///< It is refused rather than begun after this time.
   std::vector<TargetId> tried_;  ///< Targets that failed it.
 };
 
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -34,7 +34,7 @@
 constexpr int64_t kObjectivesOfReturned = 2;
 /** Other gateways have sent work that they have not reported yet; at the
  * crest of a burst of short prompts it delays a first event by this time. */
-constexpr Duration kLateReports = 60_ms;
+constexpr Duration kLateReports = 0_ms;
 /** Work that waits now is done after about its wait; twice that leaves room for
  * what else arrives. */
 constexpr int64_t kWaitsUntilRetry = 2;
--- a/src/transport/gateway/forward_long.cc
+++ b/src/transport/gateway/forward_long.cc
@@ -1,6 +1,7 @@
 /** @file forward_long.cc A long prompt waits for its turn at the leader. */
 #include <algorithm>
 
+#include "coordination/gateway/engine_model.h"
 #include "transport/gateway/forward.h"
 #include "transport/gateway/gateway.h"
 
@@ -11,9 +12,9 @@
 /** Callers follow at most a third of the time that they have left. */
 constexpr Duration kLeastRetry = 2500_ms;
 constexpr Duration kMostRetry = 4_s;
-/** Part of the objective after which a leader that says nothing is given up.
+/** A leader that has not answered so long after the latest time is given up.
  */
-constexpr int64_t kLeaderPart = 2;
+constexpr Duration kLeaderMargin = 300_ms;
 constexpr int64_t kThird = 3;
 
 }  // namespace
@@ -24,6 +25,8 @@
     return false;
   }
   asked_leader_ = true;
+  gateway_.Ledger().NoteLongDemand(
+      gateway_.Now(), PrefillMs(*service_.engine_, wanted.prompt_tokens_));
   const TimePoint now = gateway_.Now();
   const Duration spent = now - arrived_;
   LongPromptAsk ask;
@@ -31,13 +34,13 @@
   ask.prompt_tokens_ = wanted.prompt_tokens_;
   ask.answer_tokens_ = wanted.answer_tokens_;
   ask.tried_ = tried_;
-  // A caller that was refused before is late already: it gets longer.
-  ask.objective_ =
+  ask.objective_ = route_.objective_ - spent;
+  // A caller that was refused before is late already: it gets longer, but
+  // stands in the queue like others that come now.
+  const Duration latest =
       (HasReturned() ? route_.objective_ * kThird : route_.objective_) - spent;
-  ask.give_up_ = limit_ - now;
-  ask.objective_ = std::min(ask.objective_, ask.give_up_);
-  leader_answer_by_ =
-      now + std::max(route_.objective_, ask.objective_) / kLeaderPart + 500_ms;
+  ask.latest_ = std::min(latest, limit_ - now);
+  leader_answer_by_ = now + ask.latest_ + kLeaderMargin;
   const auto self = shared_from_this();
   ask_ = gateway_.AskLong(std::move(ask), [self](const Message& answer) {
     self->OnLeaderAnswer(answer);
