--- a/src/coordination/gateway/long_prompt_scheduler.cc
+++ b/src/coordination/gateway/long_prompt_scheduler.cc
@@ -14,6 +14,10 @@
 /** From the grant to the first event, beside the prefill: three ways between
  * data centres and a pass. */
 constexpr double kStartMs = 90;
+/** From the grant until a part reaches its engine. */
+constexpr Duration kReachMs(15);
+/** Parts take a little longer than predicted, as each step also writes. */
+constexpr double kPartSlack = 1.15;
 /** Readers pause between two parts for a part of the time. */
 constexpr double kReaderUse = 0.85;
 /** A queued prompt is kept while it is this much late at most, as predictions
@@ -31,14 +35,22 @@
   return request;
 }
 
-double LongPromptScheduler::OpenMs() const {
+double LongPromptScheduler::OpenMs(TimePoint now) const {
   double sum = 0;
-  for (const auto& [key, prefill_ms] : reading_) {
-    sum += prefill_ms;
+  for (const auto& [engine, until] : busy_) {
+    sum += static_cast<double>(std::max<int64_t>(0, (until - now).Ms()));
   }
   return sum;
 }
 
+void LongPromptScheduler::SetBusy(TimePoint now, const Placement& placement) {
+  for (const PrefillPart& part : placement.work_.parts_) {
+    TimePoint& until = busy_[part.target_];
+    until = std::max(until, now + kReachMs) +
+            Duration(static_cast<int64_t>(part.ms_ * kPartSlack));
+  }
+}
+
 double LongPromptScheduler::WaitMs(TimePoint now, const Queued& queued,
                                    double ahead_ms) const {
   const auto readers =
@@ -61,7 +73,7 @@
   queued.rank_ = now + ask.objective_;
   queued.due_ = now + ask.latest_;
   queued.prefill_ms_ = PrefillMs(*service->engine_, ask.prompt_tokens_);
-  double ahead_ms = OpenMs();
+  double ahead_ms = OpenMs(now);
   for (const Queued& other : queue_) {
     ahead_ms += other.rank_ <= queued.rank_ ? other.prefill_ms_ : 0;
   }
@@ -80,7 +92,6 @@
 void LongPromptScheduler::OnStep(TimePoint now, const NodeId& gateway,
                                  const LongPromptStep& step) {
   const Key key(gateway, step.operation_);
-  reading_.erase(key);
   std::erase_if(queue_,
                 [&key](const Queued& queued) { return queued.key_ == key; });
   const auto found = granted_.find(key);
@@ -115,7 +126,7 @@
   placed.queued_ms_ = (now - queued.asked_).Ms();
   granted_[queued.key_] =
       Granted{ledger_.Begin(now, placement.work_), now + kGrantMemory};
-  reading_[queued.key_] = queued.prefill_ms_;
+  SetBusy(now, placement);
   replies_.push_back({queued.key_.first, std::move(placed)});
 }
 
@@ -127,14 +138,14 @@
       continue;
     }
     ledger_.End(it->second.work_);
-    reading_.erase(it->first);
     it = granted_.erase(it);
   }
-  double ahead_ms = OpenMs();
+  std::erase_if(busy_, [now](const auto& item) { return item.second <= now; });
+  double ahead_ms = OpenMs(now);
   for (size_t i = 0; i < queue_.size();) {
     const Queued& queued = queue_[i];
     const std::optional<Placement> placement =
-        placer_.PlaceLongNow(now, RequestOf(queued), ledger_);
+        placer_.PlaceLongNow(now, RequestOf(queued), ledger_, busy_);
     if (placement) {
       Grant(now, queued, *placement);
       ahead_ms += queued.prefill_ms_;
--- a/src/coordination/gateway/long_prompt_scheduler.h
+++ b/src/coordination/gateway/long_prompt_scheduler.h
@@ -65,13 +65,14 @@
   double WaitMs(TimePoint now, const Queued& queued, double ahead_ms) const;
   void Refuse(const Queued& queued, double wait_ms);
   void Grant(TimePoint now, const Queued& queued, const Placement& placement);
-  double OpenMs() const;
+  double OpenMs(TimePoint now) const;
+  void SetBusy(TimePoint now, const Placement& placement);
 
   const Placer& placer_;                 ///< Chooses engines.
   LoadLedger ledger_;                    ///< Placed prompts only.
   std::vector<Queued> queue_;            ///< By rank_.
   std::map<Key, Granted> granted_;       ///< Placed, not yet ended.
-  std::map<Key, double> reading_;        ///< Prefill of those being read.
+  BusyTimes busy_;                       ///< By engine.
   std::vector<SchedulerReply> replies_;  ///< For TakeReplies().
 };
 
--- a/src/coordination/gateway/placement.cc
+++ b/src/coordination/gateway/placement.cc
@@ -43,8 +43,9 @@
 constexpr double kSuspectedMs = 1e6;
 /** Puts engines without room behind all that have some. */
 constexpr double kNoRoomMs = 1e5;
-/** A reader with so much left takes the next part without a pause. */
-constexpr double kReaderFreeMs = 100;
+/** A reader with so much left takes the next part without a pause: it takes
+ * about this time until the part reaches it. */
+constexpr double kReaderFreeMs = 40;
 /** For each short stream that still writes at an engine. */
 constexpr double kLeftOverMs = 10;
 /** What a failed request costs: about its objective. */
@@ -256,7 +257,8 @@
 
 std::optional<Placement> Placer::PlaceLongNow(TimePoint now,
                                               const PlacementRequest& request,
-                                              const LoadLedger& granted) const {
+                                              const LoadLedger& granted,
+                                              const BusyTimes& busy) const {
   const EngineProfile& engine = *request.service_->engine_;
   std::vector<Candidate> zone = LongZone(now, request);
   if (zone.empty()) {
@@ -268,6 +270,11 @@
     // Streams that were here before the border moved are slowed by reading.
     const int64_t all = zone[i].load_.requests_;
     zone[i].load_ = granted.At(zone[i].entry_->target_.id_);
+    const auto until = busy.find(zone[i].entry_->target_.id_);
+    const Duration left =
+        until == busy.end() ? Duration() : until->second - now;
+    zone[i].load_.prefill_ms_ =
+        static_cast<double>(std::max<int64_t>(0, left.Ms()));
     zone[i].penalty_ms_ += kLeftOverMs * static_cast<double>(std::max<int64_t>(
                                              0, all - zone[i].load_.requests_));
     free += i >= owners && zone[i].load_.prefill_ms_ <= kReaderFreeMs ? 1 : 0;
--- a/src/coordination/gateway/placement.h
+++ b/src/coordination/gateway/placement.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "coordination/gateway/load_ledger.h"
@@ -14,6 +15,9 @@
 
 namespace gv {
 
+/** When each engine will have read what it was given. */
+using BusyTimes = std::unordered_map<TargetId, TimePoint>;
+
 /** What is to be placed. */
 struct PlacementRequest {
   const Service* service_ = nullptr;  ///< Where to.
@@ -57,13 +61,14 @@
 
   /**
    * Places a long prompt by work that @p granted knows, if enough readers are
-   * free; an engine reads the newest part first, so that parts which pile up
-   * at it would wait for ever.
+   * free by @p busy; an engine reads the newest part first, so that parts which
+   * pile up at it would wait for ever.
    * @return Where to send it, or nothing for now.
    */
   std::optional<Placement> PlaceLongNow(TimePoint now,
                                         const PlacementRequest& request,
-                                        const LoadLedger& granted) const;
+                                        const LoadLedger& granted,
+                                        const BusyTimes& busy) const;
 
   /** @return Engines that read long prompts, at least 1. */
   size_t ReaderCount(TimePoint now, const PlacementRequest& request) const;
