Find the gateways again after a power loss when the seeds have no disk

Test: registry_test, 'a power loss after the seeds became gateways without disk' (failed first). Change: members poll the seeds now and then; a gateway without a leader polls whoever polled it; seeds count as first members only for an empty log; operation ids differ after each restart.

--- a/src/coordination/gateway/registry_members.cc
+++ b/src/coordination/gateway/registry_members.cc
@@ -57,7 +57,10 @@
   for (const NodeId& member : MemberIds()) {
     targets.insert(member);
   }
-  if (targets.empty() || now - leader_heard_ > kPollTimeout) {
+  // Members also greet the seeds now and then: after a restart of everything a
+  // seed without a disk knows nobody, and others may know only that seed.
+  const bool greet = replica_.has_value() && poll_ % kGreetingPolls == 0;
+  if (targets.empty() || greet || now - leader_heard_ > kPollTimeout) {
     targets.insert(settings_.seeds_.begin(), settings_.seeds_.end());
     targets.insert(nodes_.begin(), nodes_.end());
   }
@@ -105,6 +108,9 @@
 
 void RegistryCore::OnPoll(TimePoint now, const NodeId& from,
                           const RegistryPoll& poll, Outbox& out) {
+  if (now - leader_heard_ > kPollTimeout) {
+    nodes_.insert(from);
+  }
   Poller& poller = pollers_[from];
   const bool was_behind =
       poller.version_ < accepted_.Version() && poller.version_ == poll.version_;
--- a/src/coordination/gateway/registry_type.h
+++ b/src/coordination/gateway/registry_type.h
@@ -18,6 +18,8 @@
 /** The same while there is no lease, so that service begins at once after a
  * restart. */
 inline constexpr Duration kEagerPollPeriod = 100_ms;
+/** Every so many polls of a member also go to the seeds. */
+inline constexpr uint64_t kGreetingPolls = 4;
 /** A poll that is not answered by then is lost. */
 inline constexpr Duration kPollTimeout = 2_s;
 /** Refreshed registrations travel in batches of this period. */
--- a/src/transport/gateway/gateway.cc
+++ b/src/transport/gateway/gateway.cc
@@ -46,9 +46,11 @@
   registry.has_disk_ = !settings.data_folder_.empty();
   registry.tolerated_losses_ = settings.gateway_tolerated_losses_;
   registry.revocation_ = Duration(settings.gateway_revocation_ms_);
-  registry.seed_ = XXH3_64bits(settings.listen_peers_.data(),
-                               settings.listen_peers_.size()) +
-                   static_cast<uint64_t>(WallMs());
+  // Ids of operations must differ from those before a restart, as late answers
+  // may still arrive.
+  const std::string start =
+      settings.listen_peers_ + "/" + std::to_string(WallMs());
+  registry.seed_ = XXH3_64bits(start.data(), start.size());
   return registry;
 }
 
--- /dev/null
+++ b/tests/registry_test.cc
@@ -0,0 +1,279 @@
+/** @file registry_test.cc Leases, configurations, membership and targets that
+ * gateways share, under failures. */
+#include <doctest/doctest.h>
+
+#include "support/registry_group.h"
+
+namespace gv {
+namespace {
+
+/** A change is in force everywhere within this time of its acknowledgement. */
+constexpr Duration kInForce = 2_s;
+/** A replaced configuration is used for this time at most. */
+constexpr Duration kRevocation = 5_s;
+/** Leases are back within this time of a restart. */
+constexpr Duration kRecovery = 12_s;
+
+TargetRegistration Target(const std::string& id, uint64_t start,
+                          uint64_t sequence,
+                          RegistrationState state = RegistrationState::kReady) {
+  TargetRegistration target;
+  target.id_ = TargetId(id);
+  target.service_ = "model";
+  target.address_ = "10.0.0.1:80";
+  target.state_ = state;
+  target.start_ms_ = start;
+  target.sequence_ = sequence;
+  return target;
+}
+
+TEST_CASE("registry: a change reaches all gateways in time") {
+  RegistryGroup group(3, 3, 1);
+  group.Run(5_s);
+  REQUIRE(group.AllHaveLeases());
+  REQUIRE(group.Change("e2", 7, "seven") == OperationState::kAccepted);
+  group.Run(kInForce);
+  for (const auto& [name, host] : group.hosts_) {
+    CHECK_MESSAGE(host.core_->Served().Text() == "seven", name);
+  }
+  CHECK(group.Read("e1").version_ == 7);
+}
+
+TEST_CASE("registry: an older version is acknowledged and changes nothing") {
+  RegistryGroup group(3, 1, 2);
+  group.Run(5_s);
+  REQUIRE(group.Change("d1", 7, "seven") == OperationState::kAccepted);
+  CHECK(group.Change("d2", 5, "five") == OperationState::kAccepted);
+  CHECK(group.Change("e1", 7, "other") == OperationState::kAccepted);
+  group.Run(kInForce);
+  CHECK(group.Core("e1").Served().Text() == "seven");
+  CHECK(group.Core("d3").Served().Text() == "seven");
+}
+
+TEST_CASE("registry: one of two changes with one version wins everywhere") {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    RegistryGroup group(3, 2, seed);
+    group.link_.faults_.delay_max_ = 20_ms;
+    group.Run(5_s);
+    Outbox first(Endpoint{NodeId("d1"), Port::kControl});
+    Outbox second(Endpoint{NodeId("e1"), Port::kControl});
+    group.Core("d1").SubmitChange(group.now_, 9, "a", first);
+    group.Core("e1").SubmitChange(group.now_, 9, "b", second);
+    for (const Envelope& envelope : first.TakeSent()) {
+      group.link_.Send(group.now_, envelope);
+    }
+    for (const Envelope& envelope : second.TakeSent()) {
+      group.link_.Send(group.now_, envelope);
+    }
+    group.Run(3_s);
+    const std::string winner = group.Core("d2").Served().Text();
+    CHECK((winner == "a" || winner == "b"));
+    for (const auto& [name, host] : group.hosts_) {
+      CHECK_MESSAGE(host.core_->Served().Text() == winner, name);
+    }
+  }
+}
+
+TEST_CASE("registry: after a power loss all gateways come back") {
+  RegistryGroup group(3, 3, 3);
+  group.Run(5_s);
+  REQUIRE(group.Change("e1", 3, "three") == OperationState::kAccepted);
+  for (const char* name : {"d1", "d2", "d3", "e1", "e2", "e3"}) {
+    group.Crash(name);
+  }
+  for (const char* name : {"e1", "d1", "e2", "d2", "d3", "e3"}) {
+    group.Start(name);
+  }
+  group.Run(kRecovery);
+  CHECK(group.AllHaveLeases());
+  CHECK(group.Core("e3").Served().Text() == "three");
+}
+
+TEST_CASE(
+    "registry: a power loss after the seeds became gateways without disk") {
+  RegistryGroup group(3, 3, 4);
+  group.Run(5_s);
+  REQUIRE(group.Change("e1", 3, "three") == OperationState::kAccepted);
+  group.seeds_ = {NodeId("e1"), NodeId("e2"), NodeId("e3")};
+  for (const char* name : {"d1", "d2", "d3", "e1", "e2", "e3"}) {
+    group.Crash(name);
+  }
+  for (const char* name : {"e1", "e2", "e3", "d1", "d2", "d3"}) {
+    group.Start(name);
+  }
+  group.Run(kRecovery);
+  CHECK(group.AllHaveLeases());
+  CHECK(group.Core("e3").Served().Text() == "three");
+  CHECK(group.Core("e1").NodeCount() == 6);
+}
+
+TEST_CASE("registry: a member that lost its disk learns and votes again") {
+  RegistryGroup group(3, 1, 5);
+  group.Run(5_s);
+  REQUIRE(group.Change("d1", 2, "two") == OperationState::kAccepted);
+  group.Crash("d2");
+  group.Wipe("d2");
+  group.Start("d2");
+  group.Run(4_s);
+  // Now another one is lost: the repaired member makes the quorum.
+  group.Crash("d1");
+  group.Run(4_s);
+  REQUIRE(group.Change("e1", 4, "four") == OperationState::kAccepted);
+  CHECK(group.Core("d2").Served().Text() == "four");
+}
+
+TEST_CASE("registry: a new gateway with a disk replaces a lost member") {
+  RegistryGroup group(3, 1, 6);
+  group.Run(5_s);
+  REQUIRE(group.Change("d1", 2, "two") == OperationState::kAccepted);
+  group.Crash("d3");
+  group.Add("d4", true);
+  group.Run(20_s);
+  const std::string leader = group.Leader();
+  REQUIRE(!leader.empty());
+  REQUIRE(leader != "several");
+  std::vector<std::string> voters;
+  for (const ReplicaMember& member : group.Core(leader).Replica()->Members()) {
+    if (member.voter_) {
+      voters.push_back(member.node_.Value());
+    }
+  }
+  CHECK(voters == std::vector<std::string>{"d1", "d2", "d4"});
+  group.Crash("d1");
+  group.Run(5_s);
+  CHECK(group.Change("e1", 4, "four") == OperationState::kAccepted);
+}
+
+TEST_CASE("registry: a gateway that is cut off serves no revoked version") {
+  for (uint64_t seed = 10; seed < 20; ++seed) {
+    RegistryGroup group(3, 2, seed);
+    group.Run(5_s);
+    REQUIRE(group.Change("d1", 2, "two") == OperationState::kAccepted);
+    group.Run(kInForce);
+    const std::string leader = group.Leader();
+    group.Isolate("e1", true);
+    group.Isolate(leader, true);
+    const std::string other = leader == "d1" ? "d2" : "d1";
+    for (int i = 0; i < 20; ++i) {
+      if (group.Change(other, 3, "three") == OperationState::kAccepted) {
+        break;
+      }
+    }
+    const TimePoint acknowledged = group.now_;
+    REQUIRE(group.Core(other).Served().Version() == 3);
+    while (group.now_ < acknowledged + kRevocation) {
+      group.Run(100_ms);
+    }
+    CHECK_FALSE(group.Core("e1").HasLease(group.now_));
+    CHECK_FALSE(group.Core(leader).HasLease(group.now_));
+    CHECK(group.Read(leader).state_ == OperationState::kUnknown);
+    group.Isolate("e1", false);
+    group.Isolate(leader, false);
+    group.Run(3_s);
+    CHECK(group.AllHaveLeases());
+    CHECK(group.Core(leader).Served().Text() == "three");
+  }
+}
+
+TEST_CASE("registry: a suspended gateway has no lease when it wakes") {
+  RegistryGroup group(3, 1, 7);
+  group.Run(5_s);
+  REQUIRE(group.Core("e1").HasLease(group.NowOf(group.Host("e1"))));
+  group.Host("e1").jump_ = kRevocation;
+  CHECK_FALSE(group.Core("e1").HasLease(group.NowOf(group.Host("e1"))));
+}
+
+TEST_CASE("registry: a leaving target is known everywhere at once") {
+  RegistryGroup group(3, 3, 8);
+  group.Run(5_s);
+  group.Register("e1", Target("t1", 1000, 1));
+  group.Run(500_ms);
+  for (const auto& [name, host] : group.hosts_) {
+    const DirectoryEntry* entry = host.core_->Targets().Find(TargetId("t1"));
+    REQUIRE_MESSAGE(entry != nullptr, name);
+  }
+  group.Register("e2", Target("t1", 1000, 2, RegistrationState::kDraining));
+  group.Run(500_ms);
+  for (const auto& [name, host] : group.hosts_) {
+    const DirectoryEntry* entry = host.core_->Targets().Find(TargetId("t1"));
+    CHECK(entry->target_.state_ == RegistrationState::kDraining);
+  }
+  group.Depart("e3", "t1");
+  group.Run(500_ms);
+  group.Register("d1", Target("t1", 1000, 3));
+  group.Run(1_s);
+  CHECK(group.Core("e1").Targets().Find(TargetId("t1"))->target_.state_ ==
+        RegistrationState::kGone);
+  group.Register("d1", Target("t1", 2000, 1));
+  group.Run(500_ms);
+  CHECK(group.Core("e1").Targets().Find(TargetId("t1"))->target_.state_ ==
+        RegistrationState::kReady);
+}
+
+TEST_CASE("registry: a silent target is dropped and stays dropped") {
+  RegistryGroup group(3, 2, 9);
+  group.Run(5_s);
+  group.Register("e1", Target("t1", 1000, 1));
+  group.Run(15_s);
+  for (const auto& [name, host] : group.hosts_) {
+    CHECK_MESSAGE(host.core_->Targets().Find(TargetId("t1")) == nullptr, name);
+  }
+}
+
+TEST_CASE("registry: targets are learnt again after all gateways restarted") {
+  RegistryGroup group(3, 2, 10);
+  group.Run(5_s);
+  group.Register("d1", Target("t1", 1000, 1));
+  group.Run(1_s);
+  for (const char* name : {"d2", "d3", "e1", "e2"}) {
+    group.Crash(name);
+    group.Start(name);
+  }
+  group.Run(5_s);
+  for (const auto& [name, host] : group.hosts_) {
+    CHECK_MESSAGE(host.core_->Targets().Find(TargetId("t1")) != nullptr, name);
+  }
+}
+
+TEST_CASE(
+    "registry: a rough day with losses, restarts and cuts loses nothing") {
+  for (uint64_t seed = 100; seed < 106; ++seed) {
+    RegistryGroup group(3, 3, seed);
+    group.link_.faults_.loss_ = 0.03;
+    group.link_.faults_.delay_max_ = 40_ms;
+    group.Run(6_s);
+    uint64_t version = 0;
+    uint64_t acknowledged = 0;
+    const std::vector<std::string> names{"d1", "d2", "d3", "e1", "e2", "e3"};
+    for (uint64_t round = 0; round < 12; ++round) {
+      const std::string& victim = names[(seed + round * 5) % names.size()];
+      if (round % 3 == 0) {
+        group.Crash(victim);
+        group.Start(victim);
+      } else if (round % 3 == 1) {
+        group.Isolate(victim, true);
+      }
+      version += 2;
+      const std::string& at = names[(seed + round) % names.size()];
+      if (group.Change(at, version, std::to_string(version)) ==
+          OperationState::kAccepted) {
+        acknowledged = version;
+      }
+      group.Run(1_s);
+      const OperationEnd read = group.Read(names[(round + 3) % names.size()]);
+      if (read.state_ == OperationState::kConfirmed) {
+        CHECK(read.version_ >= acknowledged);
+      }
+      group.link_.Heal();
+    }
+    group.Run(kRecovery);
+    CHECK(acknowledged > 0);
+    for (const auto& [name, host] : group.hosts_) {
+      CHECK_MESSAGE(host.core_->Served().Version() >= acknowledged, name);
+      CHECK_MESSAGE(host.core_->HasLease(group.now_), name);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace gv
--- /dev/null
+++ b/tests/support/registry_group.cc
@@ -0,0 +1,199 @@
+/** @file registry_group.cc Drives registries. */
+#include "support/registry_group.h"
+
+namespace gv {
+namespace {
+
+constexpr Duration kTick{50};
+constexpr Duration kSync{2};
+
+}  // namespace
+
+RegistryGroup::RegistryGroup(size_t with_disk, size_t without, uint64_t seed)
+    : link_(seed) {
+  for (size_t i = 1; i <= with_disk; ++i) {
+    seeds_.emplace_back("d" + std::to_string(i));
+  }
+  for (size_t i = 1; i <= with_disk; ++i) {
+    Add("d" + std::to_string(i), true);
+  }
+  for (size_t i = 1; i <= without; ++i) {
+    Add("e" + std::to_string(i), false);
+  }
+  first_start_ = false;
+}
+
+void RegistryGroup::Add(const std::string& name, bool has_disk) {
+  RegistryHost& host = hosts_[name];
+  host.node_ = NodeId(name);
+  host.has_disk_ = has_disk;
+  host.disk_.Wipe(Incarnation(++disks_), first_start_);
+  Start(name);
+}
+
+void RegistryGroup::Crash(const std::string& name) {
+  RegistryHost& host = Host(name);
+  host.core_.reset();
+  host.disk_.Crash();
+  host.ends_.clear();
+  host.sync_at_ = TimePoint::Never();
+}
+
+void RegistryGroup::Wipe(const std::string& name) {
+  Host(name).disk_.Wipe(Incarnation(++disks_), false);
+}
+
+void RegistryGroup::Start(const std::string& name) {
+  RegistryHost& host = Host(name);
+  RegistrySettings settings;
+  settings.self_ = host.node_;
+  settings.seeds_ = seeds_;
+  settings.has_disk_ = host.has_disk_;
+  settings.seed_ =
+      std::hash<std::string>()(name + std::to_string(++host.starts_));
+  host.core_ = std::make_unique<RegistryCore>(settings);
+  host.next_tick_ = now_;
+  if (!host.has_disk_) {
+    return;
+  }
+  ReplicaSettings replica;
+  replica.self_ = host.node_;
+  if (host.disk_.Load().entries_.empty() &&
+      host.disk_.Load().snapshot_index_.IsNone()) {
+    replica.initial_members_ = seeds_;
+  }
+  replica.seed_ = settings.seed_;
+  replica.heartbeat_ = Duration(100);
+  replica.lease_ = Duration(450);
+  replica.election_min_ = Duration(600);
+  replica.election_max_ = Duration(1100);
+  host.core_->AttachReplica(ReplicaCore(replica, host.disk_.Load()));
+}
+
+void RegistryGroup::Step(RegistryHost& host, const Envelope& in) {
+  Outbox out(Endpoint{host.node_, Port::kControl});
+  host.core_->OnMessage(NowOf(host), in, out);
+  CarryOut(host, out);
+}
+
+void RegistryGroup::CarryOut(RegistryHost& host, Outbox& out) {
+  for (const Envelope& envelope : out.TakeSent()) {
+    if (envelope.to_.port_ == Port::kDisk) {
+      host.disk_.Submit(envelope.body_);
+    } else {
+      link_.Send(now_, envelope);
+    }
+  }
+  if (host.disk_.HasPending() && host.sync_at_ == TimePoint::Never()) {
+    host.sync_at_ = now_ + kSync;
+  }
+  for (const OperationEnd& end : host.core_->TakeEnds()) {
+    host.ends_.push_back(end);
+  }
+}
+
+void RegistryGroup::Run(Duration duration) {
+  const TimePoint end = now_ + duration;
+  while (now_ < end) {
+    now_ = now_ + Duration(1);
+    for (const Envelope& envelope : link_.TakeDue(now_)) {
+      RegistryHost& host = Host(envelope.to_.node_.Value());
+      if (host.core_) {
+        Step(host, envelope);
+      }
+    }
+    for (auto& [name, host] : hosts_) {
+      if (host.core_ && now_ >= host.sync_at_) {
+        host.sync_at_ = TimePoint::Never();
+        Step(host, Envelope{{host.node_, Port::kDisk},
+                            {host.node_, Port::kControl},
+                            {},
+                            host.disk_.Sync()});
+      }
+      if (host.core_ && now_ >= host.next_tick_) {
+        host.next_tick_ = now_ + kTick;
+        Step(host, Envelope{{host.node_, Port::kTransport},
+                            {host.node_, Port::kControl},
+                            {},
+                            Tick{}});
+      }
+    }
+  }
+}
+
+OperationEnd RegistryGroup::WaitFor(RegistryHost& host, OperationId id) {
+  for (int i = 0; i < 200; ++i) {
+    for (const OperationEnd& end : host.ends_) {
+      if (end.operation_ == id) {
+        return end;
+      }
+    }
+    Run(Duration(10));
+  }
+  return OperationEnd{id, OperationState::kUnknown, 0};
+}
+
+OperationState RegistryGroup::Change(const std::string& at, uint64_t version,
+                                     const std::string& text) {
+  RegistryHost& host = Host(at);
+  Outbox out(Endpoint{host.node_, Port::kControl});
+  const OperationId id =
+      host.core_->SubmitChange(NowOf(host), version, text, out);
+  CarryOut(host, out);
+  return WaitFor(host, id).state_;
+}
+
+OperationEnd RegistryGroup::Read(const std::string& at) {
+  RegistryHost& host = Host(at);
+  Outbox out(Endpoint{host.node_, Port::kControl});
+  const OperationId id = host.core_->ConfirmVersion(NowOf(host), out);
+  CarryOut(host, out);
+  return WaitFor(host, id);
+}
+
+void RegistryGroup::Isolate(const std::string& name, bool isolated) {
+  std::vector<NodeId> others;
+  for (const auto& [other, host] : hosts_) {
+    if (other != name) {
+      others.push_back(host.node_);
+    }
+  }
+  link_.SetIsolated(NodeId(name), others, isolated);
+}
+
+std::string RegistryGroup::Leader() {
+  std::string leader;
+  for (const auto& [name, host] : hosts_) {
+    if (host.core_ && host.core_->Replica() != nullptr &&
+        host.core_->Replica()->IsLeader()) {
+      leader = leader.empty() ? name : "several";
+    }
+  }
+  return leader;
+}
+
+bool RegistryGroup::AllHaveLeases() {
+  for (const auto& [name, host] : hosts_) {
+    if (host.core_ && !host.core_->HasLease(NowOf(host))) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void RegistryGroup::Register(const std::string& at,
+                             const TargetRegistration& target) {
+  RegistryHost& host = Host(at);
+  Outbox out(Endpoint{host.node_, Port::kControl});
+  host.core_->Announce(NowOf(host), target, out);
+  CarryOut(host, out);
+}
+
+void RegistryGroup::Depart(const std::string& at, const std::string& id) {
+  RegistryHost& host = Host(at);
+  Outbox out(Endpoint{host.node_, Port::kControl});
+  host.core_->Depart(NowOf(host), TargetId(id), out);
+  CarryOut(host, out);
+}
+
+}  // namespace gv
