--- /dev/null
+++ b/tests/gateway_attempt_test.cc
@@ -0,0 +1,110 @@
+/** @file gateway_attempt_test.cc What follows a failed attempt, the budget of
+ * repeats, and the order of events in a stream. */
+#include <doctest/doctest.h>
+
+#include "coordination/gateway/attempt_policy.h"
+#include "coordination/gateway/event_splitter.h"
+#include "coordination/gateway/retry_window.h"
+
+namespace gv {
+namespace {
+
+AttemptHistory Sent(RouteKind kind, bool resumable, int64_t may_have_run) {
+  AttemptHistory history;
+  history.kind_ = kind;
+  history.resumable_ = resumable;
+  history.max_targets_ = kind == RouteKind::kUnsafe ? 1 : 2;
+  history.sent_ = 1;
+  history.may_have_run_ = may_have_run;
+  history.time_left_ = 1_s;
+  return history;
+}
+
+constexpr AttemptEnd kUnknown{RunState::kMayHaveRun, false};
+constexpr AttemptEnd kNotRunEnd{RunState::kNotRun, false};
+constexpr AttemptEnd kFailedAnswer{RunState::kRan, true};
+
+TEST_CASE("attempt policy: what may have run is never sent twice if unsafe") {
+  const auto unsafe = Sent(RouteKind::kUnsafe, false, 1);
+  CHECK_FALSE(MayTryAgain(unsafe, kUnknown));
+  CHECK_FALSE(MayTryAgain(unsafe, kFailedAnswer));
+  CHECK(DecideFinalStep(unsafe, kUnknown) == FinalStep::kFail);
+  CHECK(DecideFinalStep(unsafe, kFailedAnswer) == FinalStep::kPassAnswer);
+  const auto stream = Sent(RouteKind::kStream, false, 1);
+  CHECK_FALSE(MayTryAgain(stream, kUnknown));
+  CHECK(DecideFinalStep(stream, kUnknown) == FinalStep::kFail);
+}
+
+TEST_CASE("attempt policy: what did not run may go elsewhere, or is refused") {
+  const auto unsafe = Sent(RouteKind::kUnsafe, false, 0);
+  CHECK(MayTryAgain(unsafe, kNotRunEnd));
+  CHECK(DecideFinalStep(unsafe, kNotRunEnd) == FinalStep::kRefuse);
+  AttemptHistory late = unsafe;
+  late.time_left_ = 10_ms;
+  CHECK_FALSE(MayTryAgain(late, kNotRunEnd));
+}
+
+TEST_CASE("attempt policy: not run after an attempt that may have run") {
+  // The first attempt may have run, the second was refused by its target.
+  AttemptHistory history = Sent(RouteKind::kSafe, false, 1);
+  history.sent_ = 2;
+  CHECK(DecideFinalStep(history, kNotRunEnd) == FinalStep::kFail);
+}
+
+TEST_CASE("attempt policy: safe requests and resumable streams are repeated") {
+  CHECK(MayTryAgain(Sent(RouteKind::kSafe, false, 1), kUnknown));
+  CHECK(MayTryAgain(Sent(RouteKind::kSafe, false, 1), kFailedAnswer));
+  AttemptHistory stream = Sent(RouteKind::kStream, true, 1);
+  stream.answer_begun_ = true;
+  CHECK(MayTryAgain(stream, kUnknown));
+  CHECK(DecideFinalStep(stream, kUnknown) == FinalStep::kBreakOff);
+  stream.may_have_run_ = 2;
+  stream.sent_ = 2;
+  CHECK_FALSE(MayTryAgain(stream, kUnknown));
+}
+
+TEST_CASE("retry window: the sum over gateways stays below the bound") {
+  // A crest: each gateway gets 20 requests a second, all of which fail.
+  constexpr size_t kGateways = 6;
+  const RetryBounds bounds{0.2, 10_s, 106};
+  std::vector<RetryWindow> windows(kGateways, RetryWindow(bounds));
+  int64_t requests = 0;
+  int64_t repeats = 0;
+  for (TimePoint now(0); now < TimePoint(10000); now = now + 50_ms) {
+    for (RetryWindow& window : windows) {
+      window.OnRequest(now);
+      ++requests;
+      repeats += window.TakeRepeat(now, kGateways) ? 1 : 0;
+    }
+  }
+  const double most = 0.2 * static_cast<double>(requests) + 106;
+  CHECK(static_cast<double>(repeats) <= most);
+  CHECK(static_cast<double>(repeats) >= most / 2);
+}
+
+TEST_CASE("event splitter: whole events pass, each once and in order") {
+  EventSplitter events(std::nullopt);
+  CHECK(events.Add("id: 1\ndata: a\n").empty());
+  CHECK(events.Add("\nid: 2\nda") == "id: 1\ndata: a\n\n");
+  // The target breaks in the middle of event 2; another one goes on.
+  events.Restart();
+  CHECK(events.Last() == 1);
+  CHECK(events.Add("id: 1\ndata: a\n\nid: 2\ndata: b\n\n") ==
+        "id: 2\ndata: b\n\n");
+  CHECK(events.IsWhole());
+  CHECK_FALSE(events.HasGap());
+  CHECK(events.Add("id: 4\ndata: d\n\n").empty());
+  CHECK(events.HasGap());
+}
+
+TEST_CASE("event splitter: a resumed stream must begin after the last event") {
+  EventSplitter events(12);
+  CHECK(events.Add("id: 12\ndata: x\n\n").empty());
+  CHECK(events.Add("id: 13\ndata: y\n\n") == "id: 13\ndata: y\n\n");
+  EventSplitter other(12);
+  CHECK(other.Add("id: 14\ndata: y\n\n").empty());
+  CHECK(other.HasGap());
+}
+
+}  // namespace
+}  // namespace gv
--- /dev/null
+++ b/tests/gateway_directory_test.cc
@@ -0,0 +1,90 @@
+/** @file gateway_directory_test.cc Registrations out of order, reused addresses
+ * and the judgement of targets by their answers. */
+#include <doctest/doctest.h>
+
+#include "coordination/gateway/target_directory.h"
+#include "coordination/gateway/target_health.h"
+
+namespace gv {
+namespace {
+
+using Change = TargetDirectory::Change;
+
+TargetRegistration Target(const std::string& id, const std::string& address,
+                          uint64_t start, uint64_t sequence) {
+  TargetRegistration target;
+  target.id_ = TargetId(id);
+  target.service_ = "model";
+  target.address_ = address;
+  target.start_ms_ = start;
+  target.sequence_ = sequence;
+  return target;
+}
+
+TEST_CASE(
+    "target directory: the newest registration of the newest start wins") {
+  TargetDirectory directory;
+  const TimePoint now(1000);
+  CHECK(directory.Merge(now, Target("a", "x:1", 100, 5)) == Change::kChanged);
+  CHECK(directory.Merge(now, Target("a", "x:1", 100, 4)) == Change::kNone);
+  CHECK(directory.Merge(now, Target("a", "x:1", 100, 6)) == Change::kRefreshed);
+  CHECK(directory.Merge(now, Target("a", "x:1", 200, 1)) == Change::kChanged);
+  CHECK(directory.Merge(now, Target("a", "x:1", 100, 9)) == Change::kNone);
+}
+
+TEST_CASE(
+    "target directory: a late registration does not take back an address") {
+  TargetDirectory directory;
+  const TimePoint now(1000);
+  directory.Merge(now, Target("old", "x:1", 100, 5));
+  CHECK(directory.Merge(now, Target("new", "x:1", 200, 1)) == Change::kChanged);
+  CHECK(directory.Find(TargetId("old"))->target_.state_ ==
+        RegistrationState::kGone);
+  CHECK(directory.Merge(now, Target("old", "x:1", 100, 6)) == Change::kNone);
+  CHECK(directory.Merge(now, Target("older", "x:1", 50, 6)) == Change::kNone);
+}
+
+TEST_CASE("target directory: rows that are passed on age and expire") {
+  TargetDirectory first;
+  TargetDirectory second;
+  first.Merge(TimePoint(0), Target("a", "x:1", 100, 1));
+  second.Merge(TimePoint(500), first.Row(TimePoint(6000), TargetId("a")));
+  CHECK(second.Find(TargetId("a"))->heard_ == TimePoint(-5500));
+  CHECK(second.Digest() == first.Digest());
+  CHECK(second.Expire(TimePoint(5000), 10_s, 60_s).size() == 1);
+  CHECK(second.Merge(TimePoint(5000),
+                     first.Row(TimePoint(9000), TargetId("a"))) ==
+        Change::kNone);
+}
+
+TEST_CASE("target health: a target that cannot be reached is left at once") {
+  TargetHealth health;
+  const TargetId target("a");
+  CHECK(health.OnOutcome(TimePoint(0), target, HealthOutcome::kUnreachable));
+  CHECK(health.IsSuspected(TimePoint(100), target));
+  CHECK_FALSE(health.IsSuspected(TimePoint(500), target));
+  health.OnOutcome(TimePoint(500), target, HealthOutcome::kUnreachable);
+  CHECK(health.IsSuspected(TimePoint(1200), target));
+  CHECK(health.OnOutcome(TimePoint(1400), target, HealthOutcome::kGood));
+  CHECK_FALSE(health.IsSuspected(TimePoint(1400), target));
+}
+
+TEST_CASE("target health: ordinary errors don't make a target suspected") {
+  TargetHealth health;
+  const TargetId target("a");
+  for (int i = 0; i < 200; ++i) {
+    const bool fails = i % 7 == 0;
+    health.OnOutcome(TimePoint(i * 10), target,
+                     fails ? HealthOutcome::kError : HealthOutcome::kGood);
+    CHECK_FALSE(health.IsSuspected(TimePoint(i * 10), target));
+  }
+  for (int i = 0; i < 10; ++i) {
+    health.OnOutcome(TimePoint(2000 + i), target, HealthOutcome::kError);
+  }
+  CHECK(health.IsSuspected(TimePoint(2010), target));
+  health.OnOutcome(TimePoint(2010), target, HealthOutcome::kFull);
+  CHECK(health.IsSuspected(TimePoint(2010), target));
+}
+
+}  // namespace
+}  // namespace gv
--- /dev/null
+++ b/tests/gateway_routing_test.cc
@@ -0,0 +1,70 @@
+/** @file gateway_routing_test.cc Routes, customers and checks of
+ * configurations. */
+#include <doctest/doctest.h>
+
+#include "coordination/gateway/routing_table.h"
+
+namespace gv {
+namespace {
+
+Route MakeRoute(const std::string& name, const std::string& prefix) {
+  Route route;
+  route.name_ = name;
+  route.host_ = "a.example";
+  route.prefix_ = prefix;
+  route.timeout_ = 1_s;
+  route.services_ = {{"s1", 1}};
+  return route;
+}
+
+RoutingConfiguration Sample() {
+  RoutingConfiguration configuration;
+  configuration.version_ = 3;
+  configuration.services_ = {Service{"s1", 0, {}}, Service{"s2", 0, {}}};
+  configuration.routes_ = {MakeRoute("r1", "/a/"), MakeRoute("r2", "/a/b/")};
+  configuration.customers_ = {Customer{"c1", {"k1", "k2"}, {}}};
+  return configuration;
+}
+
+TEST_CASE("routing table: the longest prefix of the host wins") {
+  const RoutingTable table = RoutingTable::Build(Sample()).value();
+  CHECK(table.FindRoute("a.example", "/a/x")->name_ == "r1");
+  CHECK(table.FindRoute("A.Example:80", "/a/b/c/d?q=/z/")->name_ == "r2");
+  CHECK(table.FindRoute("a.example", "/a/b")->name_ == "r1");
+  CHECK(table.FindRoute("a.example", "/a") == nullptr);
+  CHECK(table.FindRoute("a.example", "/") == nullptr);
+  CHECK(table.FindRoute("b.example", "/a/x") == nullptr);
+  CHECK(table.FindCustomer("k2")->name_ == "c1");
+  CHECK(table.FindCustomer("k3") == nullptr);
+}
+
+TEST_CASE("routing table: weights share out evenly distributed hashes") {
+  Route route = MakeRoute("r", "/a/");
+  route.services_ = {{"s1", 90}, {"s2", 10}};
+  int second = 0;
+  for (uint64_t hash = 0; hash < 1000; ++hash) {
+    second += RoutingTable::ChooseService(route, hash) == "s2" ? 1 : 0;
+  }
+  CHECK(second == 100);
+}
+
+TEST_CASE("routing table: invalid configurations are refused") {
+  const auto refuses = [](auto change) {
+    RoutingConfiguration configuration = Sample();
+    change(configuration);
+    return !RoutingTable::Build(std::move(configuration)).has_value();
+  };
+  CHECK_FALSE(refuses([](RoutingConfiguration&) {}));
+  CHECK(refuses([](auto& c) { c.routes_[0].services_ = {{"none", 1}}; }));
+  CHECK(refuses([](auto& c) { c.routes_[1].prefix_ = "/a/"; }));
+  CHECK(refuses([](auto& c) { c.routes_[0].services_ = {{"s1", 0}}; }));
+  CHECK(refuses([](auto& c) { c.routes_[0].services_[0].weight_ = -1; }));
+  CHECK(refuses([](auto& c) { c.routes_[0].timeout_ = Duration(); }));
+  CHECK(refuses([](auto& c) { c.routes_[0].prefix_ = "/a"; }));
+  CHECK(refuses([](auto& c) {
+    c.customers_.push_back(Customer{"c2", {"k1"}, {}});
+  }));
+}
+
+}  // namespace
+}  // namespace gv
--- /dev/null
+++ b/tests/platform_codec_test.cc
@@ -0,0 +1,132 @@
+/** @file platform_codec_test.cc What the users' platform sends, and what is
+ * sent to it. */
+#include "platform/platform_codec.h"
+
+#include <doctest/doctest.h>
+
+namespace gv::platform {
+namespace {
+
+constexpr const char* kConfiguration = R"({"version":7,"routes":[
+  {"name":"r1","hostname":"a.example","pathPrefix":"/p/","kind":"stream",
+   "timeoutMs":10000,"sloMs":300,"priority":1,"maxAttempts":2,
+   "trafficSplit":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+   "allowAnonymous":false,"resumable":true,"gapAimMs":250},
+  {"name":"r2","hostname":"a.example","pathPrefix":"/q/","kind":"unsafe",
+   "timeoutMs":600,"service":"s2"}],
+ "services":[{"name":"s1","maxConnections":344,"engine":{"slots":16,
+   "kvCapacityTokens":315000,"step_ms":0.85,"per_seq_ms":0.00425,
+   "context_per_k":0.00285,"read_per_s":177000.0,"pairs_per_m":0.184,
+   "chunk":2048,"stride":51,"usual":{"prompt":11112,"answer":1622}}},
+   {"name":"s2","maxConnections":52}],
+ "limits":{"maxHeaderBytes":8192,"idleMs":9000},
+ "tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":2}],
+ "more":{"unknown":[1,2,3]}})";
+
+TEST_CASE("platform: a configuration is decoded into the product's types") {
+  const auto decoded = DecodeConfiguration(kConfiguration);
+  REQUIRE_MESSAGE(decoded.has_value(), decoded.error().detail_);
+  const RoutingConfiguration& configuration = decoded.value();
+  CHECK(configuration.version_ == 7);
+  REQUIRE(configuration.routes_.size() == 2);
+  const Route& route = configuration.routes_[0];
+  CHECK(route.kind_ == RouteKind::kStream);
+  CHECK(route.resumable_);
+  CHECK(route.pause_objective_ == 250_ms);
+  CHECK(route.services_.size() == 2);
+  CHECK(configuration.routes_[1].services_[0].service_ == "s2");
+  CHECK(configuration.routes_[1].max_targets_ == 1);
+  REQUIRE(configuration.services_[0].engine_.has_value());
+  CHECK(configuration.services_[0].engine_->prefill_tokens_per_ms_ == 177);
+  CHECK(configuration.customers_[0].priority_ == 2);
+  CHECK(configuration.bounds_.header_bytes_ == 8192);
+}
+
+TEST_CASE("platform: a configuration that can't be read in full is refused") {
+  const std::string text = kConfiguration;
+  for (size_t length = 0; length < text.size(); length += 7) {
+    CHECK_FALSE(DecodeConfiguration(text.substr(0, length)).has_value());
+  }
+  const auto replaced = [&](const std::string& from, const std::string& to) {
+    std::string changed = text;
+    changed.replace(changed.find(from), from.size(), to);
+    return DecodeConfiguration(changed).has_value();
+  };
+  CHECK_FALSE(replaced("\"version\":7", "\"version\":\"7\""));
+  CHECK_FALSE(replaced("\"stream\"", "\"other\""));
+  CHECK_FALSE(replaced("\"timeoutMs\":600", "\"timeoutMs\":\"x\""));
+  CHECK_FALSE(replaced("[\"k1\",\"k2\"]", "[1]"));
+  CHECK_FALSE(replaced("\"service\":\"s2\"}]", "\"none\":\"s2\"}]"));
+  const std::string deep(100000, '[');
+  CHECK_FALSE(DecodeConfiguration("{\"a\":" + deep).has_value());
+}
+
+TEST_CASE("platform: registrations of other writers name no target") {
+  const std::string good =
+      R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":16,)"
+      R"("state":"ready","remainingMs":0,"sequence":4,"born":1700000000000})";
+  const auto target = DecodeRegistration("i-1", good);
+  REQUIRE(target.has_value());
+  CHECK(target.value().start_ms_ == 1700000000000);
+  CHECK(target.value().state_ == RegistrationState::kReady);
+  for (const char* bad :
+       {"", "x", "[]", R"({"service":"s"})",
+        R"({"service":"s","address":"a:1","zone":"z","slots":16,
+            "state":"odd","sequence":4})",
+        R"({"service":"s","address":"a:1","zone":"z","slots":16,
+            "state":"ready","sequence":"4"})",
+        R"({"service":5,"address":"a:1","zone":"z","slots":16,
+            "state":"ready","sequence":4})"}) {
+    CHECK_MESSAGE(!DecodeRegistration("i-1", bad).has_value(), bad);
+  }
+}
+
+TEST_CASE("platform: the caller's key and claims never reach a target") {
+  HttpFields fields;
+  fields.set("X-Api-Key", "secret");
+  fields.set("Gooseberryvale-Tenant", "someone-else");
+  fields.set("Gooseberryvale-Helpers", "10.0.0.1:80");
+  fields.set("Gooseberryvale-Deadline-Ms", "99999");
+  fields.set("Gooseberryvale-Attempt-Id", "9c41");
+  fields.set("X-Other", "kept");
+  ForwardFacts facts;
+  facts.time_left_ = 750_ms;
+  facts.target_ = TargetId("i-1");
+  facts.customer_ = "t1";
+  Codec().write_forward_(facts, fields);
+  CHECK(fields.find("X-Api-Key") == fields.end());
+  CHECK(fields.find("Gooseberryvale-Helpers") == fields.end());
+  CHECK(fields["Gooseberryvale-Tenant"] == "t1");
+  CHECK(fields["Gooseberryvale-Deadline-Ms"] == "750");
+  CHECK(fields["Gooseberryvale-Expect-Instance"] == "i-1");
+  CHECK(fields["Gooseberryvale-Attempt-Id"] == "9c41");
+  CHECK(fields["X-Other"] == "kept");
+}
+
+TEST_CASE("platform: headers of requests and answers") {
+  HttpFields fields;
+  fields.set("Gooseberryvale-Token-Usage", "1460,80");
+  fields.set("Gooseberryvale-Deadline-Ms", "10000");
+  fields.set("Last-Event-Id", "12");
+  const CallerFacts caller = Codec().read_caller_(fields);
+  CHECK(caller.prompt_tokens_ == 1460);
+  CHECK(caller.answer_tokens_ == 80);
+  CHECK(caller.deadline_ == 10_s);
+  CHECK(caller.last_event_ == 12);
+  HttpFields answer;
+  answer.set("Gooseberryvale-Not-Executed", "1");
+  answer.set("Keep-Alive", "timeout=7, max=3");
+  CHECK(Codec().read_answer_(503, answer).not_run_);
+  CHECK(Codec().read_answer_(503, answer).keep_alive_ == 7_s);
+  CHECK_FALSE(Codec().read_answer_(503, HttpFields()).not_run_);
+  CHECK(Codec().read_answer_(421, HttpFields()).not_run_);
+  CHECK(Codec().read_control_("PUT", "/v1/instances/i-1").call_ ==
+        ControlCall::kRegister);
+  CHECK(Codec().read_control_("DELETE", "/v1/instances/i-1").call_ ==
+        ControlCall::kDepart);
+  CHECK(Codec().read_control_("GET", "/v1/other").call_ ==
+        ControlCall::kUnknown);
+}
+
+}  // namespace
+}  // namespace gv::platform
