Take dead state out of the forwarding of attempts

A margin of 0 ms, two fields of an attempt that nothing read, and a parameter that was not used. Behaviour is unchanged.

--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -50,14 +50,12 @@
   struct Attempt {
     std::shared_ptr<TargetConnection> connection_;  ///< Where it runs.
     TargetId target_;                               ///< Who.
-    TimePoint started_;                             ///< When it was sent.
     TimePoint progress_;       ///< Last byte, or the start.
     double predicted_ms_ = 0;  ///< Until the first event.
     unsigned status_ = 0;      ///< Of the answer, or 0.
     HttpFields fields_;        ///< Of the answer.
     AnswerFacts facts_;        ///< Of the answer.
     std::string body_;         ///< Of an answer that isn't streamed.
-    bool has_head_ = false;    ///< The header came.
     bool streams_ = false;     ///< It is an event stream to pass on.
   };
 
@@ -81,7 +79,7 @@
   void OnHead(unsigned status, const HttpFields& fields);
   void OnBody(const std::string& data);
   void OnExchangeEnd(ExchangeEnd end);
-  void CloseAttempt(ExchangeEnd end);
+  void CloseAttempt();
   void OnAttemptFailed(const AttemptEnd& end, HealthOutcome health,
                        const std::string& reason);
   void AbandonAttempt(const std::string& reason);
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -30,11 +30,9 @@
  * they first come; after a refusal they have less left. */
 constexpr int64_t kFreshTenths = 8;
 constexpr int64_t kTenths = 10;
-/** Callers go away after four objectives without an event. */
+/** A caller that comes back is served if its first event comes within so many
+ * objectives. */
 constexpr int64_t kObjectivesOfReturned = 2;
-/** Other gateways have sent work that they have not reported yet; at the
- * crest of a burst of short prompts it delays a first event by this time. */
-constexpr Duration kLateReports = 0_ms;
 /** Work that waits now is done after about its wait; twice that leaves room for
  * what else arrives. */
 constexpr int64_t kWaitsUntilRetry = 2;
@@ -105,7 +103,6 @@
   // A caller that was refused before has missed its objective already; it is
   // served rather than refused again.
   const Duration most =
-      kLateReports * -1 +
       std::min(HasReturned() ? route_.objective_ * kObjectivesOfReturned
                              : route_.objective_,
                TimeLeft());
@@ -125,7 +122,6 @@
   attempt.connection_ = gateway_.Pool().Acquire(now, entry->target_.address_,
                                                 once ? kFreshIdle : kUsualIdle);
   attempt.target_ = placement.target_;
-  attempt.started_ = now;
   attempt.progress_ = now;
   attempt.predicted_ms_ = placement.wait_ms_;
   attempt_ = std::move(attempt);
@@ -218,7 +214,6 @@
   if (ended_ || !attempt_) {
     return;
   }
-  attempt_->has_head_ = true;
   attempt_->status_ = status;
   attempt_->fields_ = fields;
   attempt_->facts_ = gateway_.Codec().read_answer_(status, fields);
@@ -265,10 +260,10 @@
                     end == ExchangeEnd::kClosed ? "closed" : "broken");
     return;
   }
-  CloseAttempt(end);
+  CloseAttempt();
 }
 
-void Forward::CloseAttempt(ExchangeEnd /*end*/) {
+void Forward::CloseAttempt() {
   const AnswerFacts& facts = attempt_->facts_;
   const unsigned status = attempt_->status_;
   const bool same = facts.attempt_.empty() || facts.attempt_ == facts_.attempt_;
