Refuse numbers that a field cannot hold

The same in platform/: decimal times and sizes of configurations, and header numbers whose sums overflow. Ruled out: memory, time limit, the new messages. New target platform_fuzz for headers, configurations, registrations and events.

--- a/src/protocol/codec.cc
+++ b/src/protocol/codec.cc
@@ -55,6 +55,13 @@
                     message);
 }
 
+/** @return The number of a message, checked later. Throws FieldError. */
+size_t ReadIndex(const json& json) {
+  size_t index = 0;
+  FromJsonField(json, index);
+  return index;
+}
+
 void ReadBody(size_t index, const json& fields, Message& message) {
   if (index >= kMessageCount) {
     throw FieldError("unknown message number " + std::to_string(index));
@@ -122,7 +129,7 @@
     const json parts = json::from_msgpack(bytes.begin(), bytes.end());
     Envelope envelope;
     ReadHead(parts, envelope);
-    ReadBody(parts[3].get<size_t>(), parts[4], envelope.body_);
+    ReadBody(ReadIndex(parts[3]), parts[4], envelope.body_);
     return envelope;
   });
 }
@@ -159,7 +166,7 @@
       throw FieldError("a message has two parts");
     }
     Message message;
-    ReadBody(parts[0].get<size_t>(), parts[1], message);
+    ReadBody(ReadIndex(parts[0]), parts[1], message);
     return message;
   });
 }
--- a/src/state/field_codec.h
+++ b/src/state/field_codec.h
@@ -8,6 +8,7 @@
 #include <stdexcept>
 #include <string>
 #include <type_traits>
+#include <utility>
 #include <vector>
 
 #include "state/clock_type.h"
@@ -59,6 +60,14 @@
     } else if constexpr (std::is_enum_v<T>) {
       Expect(json.is_number_integer(), "enum number");
       value = static_cast<T>(json.template get<int64_t>());
+    } else if constexpr (std::is_integral_v<T>) {
+      Expect(json.is_number_integer(), "whole number");
+      // Conversion of a number that the type can't hold has no defined result.
+      const bool fits = json.is_number_unsigned()
+                            ? std::in_range<T>(json.template get<uint64_t>())
+                            : std::in_range<T>(json.template get<int64_t>());
+      Expect(fits, "smaller number");
+      value = json.template get<T>();
     } else if constexpr (std::is_arithmetic_v<T>) {
       Expect(json.is_number(), "number");
       value = json.template get<T>();
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -70,5 +70,28 @@
       EnvelopeFromJson(R"([["a",1],["b",1],[0,0],"Nothing",[]])").has_value());
 }
 
+TEST_CASE("codec: numbers that a field can't hold give a verdict") {
+  const auto decodes = [](const std::string& prompt_tokens) {
+    return EnvelopeFromJson(
+               R"([["a",1],["b",1],[0,0],"LongPromptAsk",[1,"s",)" +
+               prompt_tokens + "]]")
+        .has_value();
+  };
+  CHECK(decodes("7"));
+  CHECK(decodes("-7"));
+  for (const char* number :
+       {"-1.4e57", "8.4e298", "1.5", "18446744073709551615"}) {
+    CHECK_FALSE(decodes(number));
+  }
+  const auto with_counter = [](const std::string& counter) {
+    return EnvelopeFromJson(R"([["a",1],["b",1],[0,)" + counter +
+                            R"(],"LongPromptAsk",[]])")
+        .has_value();
+  };
+  CHECK(with_counter("4294967295"));
+  CHECK_FALSE(with_counter("4294967296"));
+  CHECK_FALSE(with_counter("-1"));
+}
+
 }  // namespace
 }  // namespace gv
--- /dev/null
+++ b/tests/fuzz/platform_fuzz.cc
@@ -0,0 +1,61 @@
+/** @file platform_fuzz.cc Any bytes from callers, targets and operators of the
+ * users' platform are decoded or refused, and events are never joined. */
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+#include <string_view>
+
+#include "coordination/gateway/event_splitter.h"
+#include "coordination/gateway/routing_table.h"
+#include "platform/platform_codec.h"
+
+namespace {
+
+/** Ends the run if a property does not hold. */
+void Require(bool holds) {
+  if (!holds) {
+    std::abort();
+  }
+}
+
+void ReadHeaders(std::string_view bytes) {
+  for (const char* name :
+       {"Gooseberryvale-Token-Usage", "Gooseberryvale-Deadline-Ms",
+        "Last-Event-Id", "Keep-Alive"}) {
+    gv::HttpFields fields;
+    fields.set(name, {bytes.data(), bytes.size()});
+    const gv::CallerFacts caller = gv::platform::Codec().read_caller_(fields);
+    Require(!caller.deadline_ || caller.deadline_->Ms() >= 0);
+    Require(caller.prompt_tokens_ >= 0 && caller.answer_tokens_ >= 0);
+    const gv::AnswerFacts answer =
+        gv::platform::Codec().read_answer_(200, fields);
+    Require(!answer.keep_alive_ || answer.keep_alive_->Ms() >= 0);
+  }
+}
+
+/** The same bytes in two pieces give the same events. */
+void SplitEvents(std::string_view bytes) {
+  gv::EventSplitter whole(std::nullopt);
+  const std::string all = whole.Add(bytes);
+  gv::EventSplitter parts(std::nullopt);
+  const size_t middle = bytes.size() / 2;
+  std::string joined = parts.Add(bytes.substr(0, middle));
+  joined += parts.Add(bytes.substr(middle));
+  Require(all == joined && whole.Count() == parts.Count());
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
+  const std::string_view bytes(reinterpret_cast<const char*>(data), size);
+  const auto configuration = gv::platform::DecodeConfiguration(bytes);
+  if (configuration.has_value()) {
+    (void)gv::RoutingTable::Build(configuration.value());
+  }
+  (void)gv::platform::DecodeRegistration("i-1", bytes);
+  (void)gv::platform::Codec().read_control_("PUT", bytes);
+  ReadHeaders(bytes);
+  SplitEvents(bytes);
+  return 0;
+}
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -57,6 +57,13 @@
   CHECK_FALSE(replaced("\"timeoutMs\":600", "\"timeoutMs\":\"x\""));
   CHECK_FALSE(replaced("[\"k1\",\"k2\"]", "[1]"));
   CHECK_FALSE(replaced("\"service\":\"s2\"}]", "\"none\":\"s2\"}]"));
+  for (const char* number : {"1e300", "-1e300", "9223372036854775808"}) {
+    const std::string value = number;
+    CHECK_FALSE(replaced("\"timeoutMs\":600", "\"timeoutMs\":" + value));
+    CHECK_FALSE(replaced("\"sloMs\":300", "\"sloMs\":" + value));
+    CHECK_FALSE(replaced("\"idleMs\":9000", "\"idleMs\":" + value));
+    CHECK_FALSE(replaced("\"prompt\":11112", "\"prompt\":" + value));
+  }
   const std::string deep(100000, '[');
   CHECK_FALSE(DecodeConfiguration("{\"a\":" + deep).has_value());
 }
@@ -113,7 +120,13 @@
   CHECK(caller.answer_tokens_ == 80);
   CHECK(caller.deadline_ == 10_s);
   CHECK(caller.last_event_ == 12);
+  fields.set("Gooseberryvale-Deadline-Ms", "9223372036854775807");
+  CHECK_FALSE(Codec().read_caller_(fields).deadline_.has_value());
+  fields.set("Gooseberryvale-Deadline-Ms", "-5");
+  CHECK_FALSE(Codec().read_caller_(fields).deadline_.has_value());
   HttpFields answer;
+  answer.set("Keep-Alive", "timeout=9223372036854775807");
+  CHECK_FALSE(Codec().read_answer_(200, answer).keep_alive_.has_value());
   answer.set("Gooseberryvale-Not-Executed", "1");
   answer.set("Keep-Alive", "timeout=7, max=3");
   CHECK(Codec().read_answer_(503, answer).not_run_);
