Pass a target's own failure on when no other target takes the request

Cause: the answer went away with its attempt, so a request that got a 500 and then found no target ended as our own 502. Before: 2 checks of 'attempt policy: a target's own failure is passed in the end' fail; after: none. Ruled out: repeating again, which the budget and the route's bound forbid.

--- a/src/coordination/gateway/attempt_policy.cc
+++ b/src/coordination/gateway/attempt_policy.cc
@@ -33,7 +33,7 @@
   if (history.answer_begun_) {
     return FinalStep::kBreakOff;
   }
-  if (end.has_answer_) {
+  if (end.has_answer_ || history.kept_answer_) {
     return FinalStep::kPassAnswer;
   }
   return history.may_have_run_ == 0 ? FinalStep::kRefuse : FinalStep::kFail;
--- a/src/coordination/gateway/attempt_policy.h
+++ b/src/coordination/gateway/attempt_policy.h
@@ -23,6 +23,7 @@
   int64_t sent_ = 0;                     ///< Attempts sent to a target.
   int64_t may_have_run_ = 0;             ///< Of them, those that may have run.
   bool answer_begun_ = false;  ///< The caller has got a part of an answer.
+  bool kept_answer_ = false;   ///< A target's own failure could be passed on.
   Duration time_left_;         ///< Until nobody waits any more.
 };
 
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -91,7 +91,8 @@
   void PassEvents(const std::string& data);
   void BeginAnswer();
   void FinishAnswer();
-  void PassWholeAnswer();
+  WholeAnswer TakeWholeAnswer();
+  void PassWholeAnswer(const WholeAnswer& answer);
   HttpFields AnswerFields() const;
   Duration Patience() const;
   void CheckProgress(TimePoint now);
@@ -122,18 +123,19 @@
   TimePoint limit_;                        ///< When it ends in any case.
   TimePoint nobody_waits_;                 ///< For the target's deadline.
 
-  std::optional<Attempt> attempt_;  ///< In progress.
-  std::optional<WorkId> work_;      ///< In the ledger.
-  std::vector<TargetId> tried_;     ///< Targets that failed it.
-  size_t helpers_ = 0;              ///< Of the newest attempt.
-  int64_t sent_ = 0;                ///< Attempts sent.
-  int64_t may_have_run_ = 0;        ///< Of them.
-  EventSplitter events_;            ///< Of a stream.
-  bool answer_begun_ = false;       ///< Parts were written.
-  bool ended_ = false;              ///< Nothing more to do.
-  TimePoint last_event_;            ///< When the caller got the newest.
-  Duration longest_pause_;          ///< Between two events.
-  TimePoint first_event_;           ///< When the caller got it.
+  std::optional<Attempt> attempt_;          ///< In progress.
+  std::optional<WorkId> work_;              ///< In the ledger.
+  std::vector<TargetId> tried_;             ///< Targets that failed it.
+  size_t helpers_ = 0;                      ///< Of the newest attempt.
+  int64_t sent_ = 0;                        ///< Attempts sent.
+  int64_t may_have_run_ = 0;                ///< Of them.
+  EventSplitter events_;                    ///< Of a stream.
+  std::optional<WholeAnswer> own_failure_;  ///< Of the newest target with one.
+  bool answer_begun_ = false;               ///< Parts were written.
+  bool ended_ = false;                      ///< Nothing more to do.
+  TimePoint last_event_;                    ///< When the caller got the newest.
+  Duration longest_pause_;                  ///< Between two events.
+  TimePoint first_event_;                   ///< When the caller got it.
 
   bool asked_leader_ = false;       ///< Only once for each request.
   std::optional<OperationId> ask_;  ///< Open at the leader.
--- a/src/transport/gateway/forward_answer.cc
+++ b/src/transport/gateway/forward_answer.cc
@@ -73,7 +73,7 @@
 
 void Forward::FinishAnswer() {
   if (!attempt_->streams_) {
-    PassWholeAnswer();
+    PassWholeAnswer(TakeWholeAnswer());
     return;
   }
   if (!answer_begun_) {
@@ -95,11 +95,12 @@
   caller_->EndParts();
 }
 
-void Forward::PassWholeAnswer() {
-  WholeAnswer answer;
-  answer.status_ = attempt_->status_;
-  answer.fields_ = AnswerFields();
-  answer.body_ = std::move(attempt_->body_);
+WholeAnswer Forward::TakeWholeAnswer() {
+  return WholeAnswer{attempt_->status_, AnswerFields(),
+                     std::move(attempt_->body_)};
+}
+
+void Forward::PassWholeAnswer(const WholeAnswer& answer) {
   Log(EventId::kForwardFinished,
       "status=" + std::to_string(answer.status_) +
           " total_ms=" + std::to_string((gateway_.Now() - arrived_).Ms()));
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -303,6 +303,7 @@
   history.sent_ = sent_;
   history.may_have_run_ = may_have_run_;
   history.answer_begun_ = answer_begun_;
+  history.kept_answer_ = own_failure_.has_value();
   history.time_left_ = limit_ - gateway_.Now();
   return history;
 }
@@ -311,6 +312,9 @@
                               const std::string& reason) {
   gateway_.OnOutcome(attempt_->target_, health);
   tried_.push_back(attempt_->target_);
+  if (end.has_answer_) {
+    own_failure_ = TakeWholeAnswer();
+  }
   const bool again =
       MayTryAgain(History(), end) &&
       gateway_.Retries(service_.name_)
@@ -339,9 +343,11 @@
 
 void Forward::FinishWithout(const AttemptEnd& end, const std::string& reason) {
   switch (DecideFinalStep(History(), end)) {
-    case FinalStep::kPassAnswer:
-      PassWholeAnswer();
+    case FinalStep::kPassAnswer: {
+      const WholeAnswer answer = std::move(*own_failure_);
+      PassWholeAnswer(answer);
       return;
+    }
     case FinalStep::kRefuse:
       Refuse(kUnavailable, reason,
              reason == "no-target" ? kNoTargetRetry : kFullRetry);
--- a/tests/gateway_attempt_test.cc
+++ b/tests/gateway_attempt_test.cc
@@ -51,6 +51,17 @@
   CHECK(DecideFinalStep(history, kNotRunEnd) == FinalStep::kFail);
 }
 
+TEST_CASE("attempt policy: a target's own failure is passed in the end") {
+  // The first target answered 500, then no other one took the request.
+  AttemptHistory history = Sent(RouteKind::kSafe, false, 1);
+  history.kept_answer_ = true;
+  CHECK(DecideFinalStep(history, kNotRunEnd) == FinalStep::kPassAnswer);
+  history.sent_ = 2;
+  CHECK(DecideFinalStep(history, kUnknown) == FinalStep::kPassAnswer);
+  history.answer_begun_ = true;
+  CHECK(DecideFinalStep(history, kNotRunEnd) == FinalStep::kBreakOff);
+}
+
 TEST_CASE("attempt policy: safe requests and resumable streams are repeated") {
   CHECK(MayTryAgain(Sent(RouteKind::kSafe, false, 1), kUnknown));
   CHECK(MayTryAgain(Sent(RouteKind::kSafe, false, 1), kFailedAnswer));
