Let short prompts start at any engine with a free slot

Ruled out: load (200 of 320 slots in use at most while 65 were refused). The log line of a sent prompt names its readers.

--- a/src/coordination/gateway/placement.cc
+++ b/src/coordination/gateway/placement.cc
@@ -37,6 +37,18 @@
 constexpr double kOtherHomeMs = 400;
 /** The same for the one gateway that an engine has beside its own. */
 constexpr double kSecondHomeMs = 50;
+/** Short prompts that their gateway's own engines would start later than this
+ * go to any other: a little more than the start at an engine with all but one
+ * slot taken. */
+constexpr double kAnywhereMs = 170;
+/** They start earlier there by this much at least, as the gateway knows less of
+ * the engines of others. */
+constexpr double kAnywhereGainMs = 40;
+/** Engines of long prompts are taken after those of short ones. */
+constexpr double kBorderMs = 30;
+/** Each request sees each engine worse by up to this time, so that gateways
+ * with the same reports choose different ones. */
+constexpr double kSpreadMs = 40;
 /** Costs one way between data centres, as a preference only. */
 constexpr double kOtherDataCentreMs = 4;
 /** Keeps suspected targets behind all others. */
@@ -57,6 +69,8 @@
 /** A stream that writes makes each pass a little longer. */
 constexpr double kStreamMs = 3;
 constexpr double kMsPerSecond = 1000;
+/** Odd constant of multiplicative hashing: 2^64 divided by the golden ratio. */
+constexpr uint64_t kMixer = 0x9E3779B97F4A7C15ULL;
 
 uint64_t OrderOf(const TargetId& id) {
   return XXH3_64bits(id.Value().data(), id.Value().size());
@@ -191,9 +205,44 @@
             });
   const size_t border = ShortShare(now, engine, candidates.size());
   const auto middle = candidates.begin() + static_cast<std::ptrdiff_t>(border);
-  return is_short || middle == candidates.end()
-             ? PlaceShort(request, {candidates.begin(), middle})
-             : PlaceLong(request, {middle, candidates.end()});
+  if (!is_short && middle != candidates.end()) {
+    return PlaceLong(request, {middle, candidates.end()});
+  }
+  Placement own = PlaceShort(request, {candidates.begin(), middle});
+  if (own.wait_ms_ <= kAnywhereMs) {
+    return own;
+  }
+  Placement other = PlaceShortAnywhere(request, std::move(candidates), border);
+  return other.wait_ms_ + kAnywhereGainMs < own.wait_ms_ ? other : own;
+}
+
+Placement Placer::PlaceShortAnywhere(const PlacementRequest& request,
+                                     std::vector<Candidate> engines,
+                                     size_t border) const {
+  const EngineProfile& engine = *request.service_->engine_;
+  const int64_t tokens = request.prompt_tokens_ + request.answer_tokens_;
+  for (size_t i = 0; i < engines.size(); ++i) {
+    constexpr double kRange = 4294967296.0;
+    const uint64_t mixed = (request.hash_ ^ engines[i].order_) * kMixer;
+    engines[i].penalty_ms_ +=
+        (i >= border ? kBorderMs : 0) +
+        kSpreadMs * static_cast<double>(mixed >> 32U) / kRange;
+  }
+  const auto score = [&](const Candidate& candidate) {
+    return candidate.penalty_ms_ + WaitMs(engine, candidate, tokens);
+  };
+  const auto best =
+      std::min_element(engines.begin(), engines.end(),
+                       [&score](const Candidate& a, const Candidate& b) {
+                         return score(a) < score(b);
+                       });
+  const double prefill_ms = PrefillMs(engine, request.prompt_tokens_);
+  Placement placement;
+  placement.target_ = best->entry_->target_.id_;
+  placement.wait_ms_ = WaitMs(engine, *best, tokens) + prefill_ms;
+  placement.work_.parts_.push_back(
+      PrefillPart{placement.target_, prefill_ms, tokens});
+  return placement;
 }
 
 Placement Placer::PlaceShort(const PlacementRequest& request,
--- a/src/coordination/gateway/placement.h
+++ b/src/coordination/gateway/placement.h
@@ -28,7 +28,7 @@
   int64_t prompt_tokens_ = 0;         ///< Zero for plain services.
   int64_t answer_tokens_ = 0;         ///< Most that may be written.
   std::vector<TargetId> tried_;       ///< Targets that failed this request.
-  uint64_t hash_ = 0;                 ///< Breaks ties.
+  uint64_t hash_ = 0;                 ///< Spreads requests that look alike.
 };
 
 /** Where a request goes. */
@@ -46,8 +46,8 @@
  * prompts, some own long prompts and write their answers, and the rest only
  * read parts of long prompts. Each gateway prefers other engines for short
  * prompts, so that reports that are a little old do not make all of them choose
- * the same one. Pure but
- * for its references. Thread safety: owned by one thread.
+ * the same one. Only what these could not start in time goes to any engine with
+ * a free slot. Pure but for its references. Thread safety: owned by one thread.
  */
 class Placer {
  public:
@@ -102,6 +102,9 @@
                         std::vector<Candidate>& candidates) const;
   Placement PlaceShort(const PlacementRequest& request,
                        std::vector<Candidate> zone) const;
+  Placement PlaceShortAnywhere(const PlacementRequest& request,
+                               std::vector<Candidate> engines,
+                               size_t border) const;
   Placement PlaceLong(const PlacementRequest& request,
                       std::vector<Candidate> zone) const;
   std::vector<Candidate> LongZone(TimePoint now,
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -45,6 +45,14 @@
     "Connection",       "Keep-Alive", "Transfer-Encoding", "Content-Length",
     "Proxy-Connection", "TE",         "Trailer",           "Upgrade"};
 
+std::string JoinIds(const std::vector<TargetId>& ids) {
+  std::string text;
+  for (const TargetId& id : ids) {
+    text += (text.empty() ? "" : ",") + id.Value();
+  }
+  return text;
+}
+
 }  // namespace
 
 void RemoveHopHeaders(HttpFields& fields) {
@@ -69,6 +77,7 @@
   wanted.prompt_tokens_ = IsPrompt() ? facts_.prompt_tokens_ : 0;
   wanted.answer_tokens_ = facts_.answer_tokens_;
   wanted.tried_ = tried_;
+  wanted.hash_ = std::hash<std::string>()(facts_.attempt_);
   if (AskLeader(wanted)) {
     return;
   }
@@ -134,6 +143,7 @@
           " candidates=" + std::to_string(placement.candidates_) +
           " wait_ms=" + std::to_string(int64_t(placement.wait_ms_)) +
           " helpers=" + std::to_string(placement.helpers_.size()) +
+          " readers=" + JoinIds(placement.helpers_) +
           " age_ms=" + std::to_string((now - entry->heard_).Ms()) +
           " left_ms=" + std::to_string(TimeLeft().Ms()));
   attempt_->connection_->Start(BuildRequest(placement),
