Never refuse a prompt that a target was given, and serve with a single engine

Cause: the leader was unknown at the first attempt; when the stream broke, the repeat asked the leader, whose refusal was written as a 503 into the answer that had begun. Ruled out: the target's broken answer, which was cut correctly. A repeat now asks with all the time that is left, and goes on without the leader if that refuses. Found on the way by the new test: with one engine left no long prompt was ever placed, and 'Connection: close' of a caller was not kept.

--- a/src/coordination/gateway/placement.cc
+++ b/src/coordination/gateway/placement.cc
@@ -295,8 +295,11 @@
             [](const Candidate& a, const Candidate& b) {
               return a.order_ < b.order_;
             });
+  // A single engine serves both.
   const size_t border =
-      ShortShare(now, *request.service_->engine_, zone.size());
+      zone.size() < 2
+          ? 0
+          : ShortShare(now, *request.service_->engine_, zone.size());
   zone.erase(zone.begin(), zone.begin() + static_cast<std::ptrdiff_t>(border));
   return zone;
 }
--- a/src/transport/gateway/caller_connection.cc
+++ b/src/transport/gateway/caller_connection.cc
@@ -81,6 +81,7 @@
     if (parser_->is_done()) {
       busy_ = true;
       head_only_ = parser_->get().method() == http::verb::head;
+      close_after_ = close_after_ || !parser_->get().keep_alive();
       CallerRequestMessage request = parser_->release();
       parser_.reset();
       hooks_.request_(std::move(request));
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -339,6 +339,7 @@
   attempt_.reset();
   events_.Restart();
   LeaveLeader();
+  asked_leader_ = false;
   ReleaseTickets();
   TryTarget();
 }
--- a/src/transport/gateway/forward_long.cc
+++ b/src/transport/gateway/forward_long.cc
@@ -36,10 +36,12 @@
   ask.tried_ = tried_;
   ask.objective_ = route_.objective_ - spent;
   // A caller that was refused before is late already: it gets longer, but
-  // stands in the queue like others that come now.
-  const Duration latest =
-      (HasReturned() ? route_.objective_ * kThird : route_.objective_) - spent;
-  ask.latest_ = std::min(latest, limit_ - now);
+  // stands in the queue like others that come now. A prompt that a target has
+  // failed gets all the time that is left.
+  const Duration objective =
+      HasReturned() ? route_.objective_ * kThird : route_.objective_;
+  const Duration left = limit_ - now;
+  ask.latest_ = sent_ > 0 ? left : std::min(objective - spent, left);
   leader_answer_by_ = now + ask.latest_ + kLeaderMargin;
   const auto self = shared_from_this();
   ask_ = gateway_.AskLong(std::move(ask), [self](const Message& answer) {
@@ -55,6 +57,11 @@
   leader_answer_by_ = TimePoint();
   if (const auto* refused = std::get_if<LongPromptRefused>(&answer)) {
     ask_.reset();
+    if (sent_ > 0) {
+      // It may have run, and its answer may have begun: no refusal is true.
+      TryTarget();
+      return;
+    }
     Refuse(kUnavailable,
            "overloaded wait_ms=" + std::to_string(refused->wait_.Ms()),
            std::clamp(refused->wait_, kLeastRetry, kMostRetry));
--- a/src/transport/gateway/gateway.cc
+++ b/src/transport/gateway/gateway.cc
@@ -57,13 +57,13 @@
 }  // namespace
 
 Gateway::Gateway(ProcessSettings settings, std::string settings_file,
-                 const WireCodec& codec)
+                 const WireCodec& codec, int log)
     : settings_(std::move(settings)),
       settings_file_(std::move(settings_file)),
       codec_(codec),
       io_(1),
       self_(settings_.listen_peers_),
-      log_(STDOUT_FILENO, settings_.node_),
+      log_(log, settings_.node_),
       registry_(MakeRegistrySettings(settings_)),
       placer_(self_, DataCentreId(settings_.data_centre_), registry_.Targets(),
               ledger_, health_),
@@ -324,7 +324,7 @@
               << ": roles: this binary has no wire codec for gateways\n";
     return kExitStartFailed;
   }
-  Gateway gateway(settings, settings_file, *codec);
+  Gateway gateway(settings, settings_file, *codec, STDOUT_FILENO);
   const Result<void> opened = gateway.Open();
   if (!opened.has_value()) {
     std::cerr << settings_file << ": " << opened.error().detail_ << "\n";
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -40,9 +40,9 @@
  */
 class Gateway {
  public:
-  /** @param codec Outlives the gateway. */
+  /** @param codec Outlives the gateway. @param log Descriptor of log lines. */
   Gateway(ProcessSettings settings, std::string settings_file,
-          const WireCodec& codec);
+          const WireCodec& codec, int log);
   ~Gateway();
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
@@ -51,6 +51,8 @@
   Result<void> Open();
   /** Runs until a planned stop is complete. */
   void Run();
+  /** Ends Run() at once, like a crash. Thread safety: any thread. */
+  void Halt() { io_.stop(); }
 
   // For requests in progress.
   TimePoint Now() const;
--- a/tests/gateway_placement_test.cc
+++ b/tests/gateway_placement_test.cc
@@ -414,6 +414,25 @@
   CHECK(result.in_time_ == 30);
 }
 
+TEST_CASE("long prompts: a single engine reads them alone") {
+  TargetDirectory directory;
+  AddEngines(directory, 1);
+  Chooser leader("g", directory);
+  LongPromptScheduler scheduler(leader.placer_);
+  const Service service = Model();
+  LongPromptAsk ask;
+  ask.operation_ = OperationId(1);
+  ask.service_ = "model";
+  ask.prompt_tokens_ = 45000;
+  ask.answer_tokens_ = 800;
+  ask.objective_ = 1500_ms;
+  ask.latest_ = 1500_ms;
+  scheduler.OnAsk(TimePoint(0), NodeId("g"), ask, &service);
+  const auto replies = scheduler.TakeReplies();
+  REQUIRE(replies.size() == 1);
+  CHECK(std::holds_alternative<LongPromptPlaced>(replies[0].body_));
+}
+
 TEST_CASE("long prompts: an unknown service is refused") {
   TargetDirectory directory;
   Chooser leader("g", directory);
--- /dev/null
+++ b/tests/support/gateway_rig.cc
@@ -0,0 +1,289 @@
+/** @file gateway_rig.cc Sockets of the scripted targets and callers. */
+#include "support/gateway_rig.h"
+
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <fstream>
+#include <sstream>
+
+#include "platform/platform_codec.h"
+#include "transport/process_settings_file.h"
+#include "transport/steady_clock.h"
+
+namespace gv {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+constexpr Duration kPatience = 20_s;
+constexpr std::chrono::milliseconds kRetry{20};
+constexpr std::chrono::milliseconds kTwoTicks{120};
+constexpr uint16_t kPorts = 4;
+
+/** @return The first of four ports that are free just now, below those that
+ * the system gives to outgoing connections. */
+uint16_t FindPorts() {
+  constexpr uint16_t kFirst = 24000;
+  constexpr uint16_t kLast = 27000;
+  static uint16_t next =
+      static_cast<uint16_t>(kFirst + (getpid() % 700) * kPorts);
+  asio::io_context io;
+  for (;; next = next + kPorts < kLast ? next + kPorts : kFirst) {
+    bool free = true;
+    for (uint16_t i = 0; i < kPorts; ++i) {
+      error_code error;
+      tcp::acceptor probe(io);
+      probe.open(tcp::v4(), error);
+      probe.set_option(tcp::acceptor::reuse_address(true), error);
+      probe.bind(
+          {asio::ip::address_v4::loopback(), static_cast<uint16_t>(next + i)},
+          error);
+      free = free && !error;
+    }
+    if (free) {
+      const uint16_t found = next;
+      next = static_cast<uint16_t>(next + kPorts);
+      return found;
+    }
+  }
+}
+
+std::string ValueIn(const std::string& head, const std::string& name) {
+  const size_t at = head.find("\r\n" + name + ": ");
+  if (at == std::string::npos) {
+    return "";
+  }
+  const size_t begin = at + name.size() + 4;
+  return head.substr(begin, head.find("\r\n", begin) - begin);
+}
+
+std::string Exchange(uint16_t port, const std::string& request) {
+  asio::io_context io;
+  tcp::socket socket(io);
+  error_code error;
+  socket.connect({asio::ip::address_v4::loopback(), port}, error);
+  if (error) {
+    return "";
+  }
+  asio::write(socket, asio::buffer(request), error);
+  std::string answer;
+  asio::read(socket, asio::dynamic_buffer(answer), error);
+  return answer;
+}
+
+}  // namespace
+
+std::string TargetRequest::Header(const std::string& name) const {
+  return ValueIn(head_, name);
+}
+
+void TargetLine::Send(const std::string& bytes) {
+  error_code ignored;
+  asio::write(socket_, asio::buffer(bytes), ignored);
+}
+
+void TargetLine::BeginEvents(const TargetRequest& request) {
+  Send(
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+      "Gooseberryvale-Attempt-Id: " +
+      request.Header("Gooseberryvale-Attempt-Id") +
+      "\r\nGooseberryvale-Response-Signature: s\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n");
+}
+
+void TargetLine::SendEvent(int id) {
+  const std::string event =
+      "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
+  std::ostringstream chunk;
+  chunk << std::hex << event.size() << "\r\n" << event << "\r\n";
+  Send(chunk.str());
+}
+
+bool TargetLine::PeerClosesWithin(std::chrono::milliseconds time) {
+  pollfd watched{socket_.native_handle(), POLLIN, 0};
+  if (poll(&watched, 1, static_cast<int>(time.count())) <= 0) {
+    return false;
+  }
+  char byte = 0;
+  return recv(socket_.native_handle(), &byte, 1, MSG_PEEK) <= 0;
+}
+
+void TargetLine::Reset() {
+  error_code ignored;
+  socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  socket_.close(ignored);
+}
+
+ScriptedTarget::ScriptedTarget(Script script)
+    : script_(std::move(script)),
+      acceptor_(io_, {asio::ip::address_v4::loopback(), 0}),
+      accepting_([this]() {
+        while (!stopping_) {
+          error_code error;
+          tcp::socket socket(io_);
+          acceptor_.accept(socket, error);
+          if (!error && !stopping_) {
+            const std::scoped_lock lock(mutex_);
+            threads_.emplace_back([this, taken = std::move(socket)]() mutable {
+              Serve(std::move(taken));
+            });
+          }
+        }
+      }) {}
+
+ScriptedTarget::~ScriptedTarget() {
+  stopping_ = true;
+  asio::io_context io;
+  tcp::socket wake(io);
+  error_code ignored;
+  wake.connect(acceptor_.local_endpoint(), ignored);
+  accepting_.join();
+  for (std::thread& thread : threads_) {
+    thread.join();
+  }
+}
+
+std::string ScriptedTarget::Address() const {
+  return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+}
+
+std::vector<TargetRequest> ScriptedTarget::Requests() {
+  const std::scoped_lock lock(mutex_);
+  return requests_;
+}
+
+void ScriptedTarget::Serve(tcp::socket socket) {
+  std::string input;
+  while (!stopping_) {
+    error_code error;
+    const size_t head = asio::read_until(socket, asio::dynamic_buffer(input),
+                                         "\r\n\r\n", error);
+    if (error) {
+      return;
+    }
+    TargetRequest request;
+    request.line_ = input.substr(0, input.find("\r\n"));
+    request.head_ =
+        input.substr(request.line_.size(), head - request.line_.size());
+    input.erase(0, head);
+    const std::string length = request.Header("Content-Length");
+    const size_t size = length.empty() ? 0 : std::stoul(length);
+    while (input.size() < size && !error) {
+      std::string more(size - input.size(), '\0');
+      more.resize(socket.read_some(asio::buffer(more), error));
+      input += more;
+    }
+    request.body_ = input.substr(0, size);
+    input.erase(0, size);
+    {
+      const std::scoped_lock lock(mutex_);
+      requests_.push_back(request);
+    }
+    TargetLine line(socket);
+    script_(request, line);
+    if (!socket.is_open()) {
+      return;
+    }
+  }
+}
+
+GatewayRig::GatewayRig(const std::string& configuration)
+    : folder_(std::filesystem::temp_directory_path() /
+              ("gv_gateway_" + std::to_string(getpid()))),
+      first_port_(FindPorts()) {
+  std::filesystem::remove_all(folder_);
+  std::filesystem::create_directories(folder_);
+  std::ofstream(folder_ / "key") << "a-key-of-enough-bytes\n";
+  const auto at = [this](int index) {
+    return "\"127.0.0.1:" + std::to_string(first_port_ + index) + "\"";
+  };
+  const std::string folder = folder_.string();
+  const auto settings = ParseProcessSettings(
+      "gateway.yaml",
+      "node: g1\nvm: g1\ndata_centre: d1\ncluster: c\nkey_file: " + folder +
+          "/key\nroles: [gateway]\nlisten: {peers: " + at(0) + ", callers: " +
+          at(1) + ", readiness: " + at(2) + ", control: " + at(3) +
+          "}\ncontrol: {bootstrap: true, data_folder: " + folder +
+          "/data}\ngateway: {seeds: [" + at(0) + "], tolerated_losses: 0}\n");
+  REQUIRE_MESSAGE(settings.has_value(),
+                  (settings ? "" : settings.error().detail_));
+  const int log = open((folder + "/log").c_str(), O_CREAT | O_WRONLY, 0600);
+  gateway_ = std::make_unique<Gateway>(settings.value(), "gateway.yaml",
+                                       platform::Codec(), log);
+  const auto opened = gateway_->Open();
+  REQUIRE_MESSAGE(opened.has_value(), (opened ? "" : opened.error().detail_));
+  runner_ = std::thread([this]() { gateway_->Run(); });
+  const TimePoint end = SteadyNow() + kPatience;
+  while (Control("PUT", "/v1/configuration", configuration)
+             .rfind("HTTP/1.1 200", 0) != 0) {
+    REQUIRE_MESSAGE(SteadyNow() < end, "the configuration is not accepted");
+    std::this_thread::sleep_for(kRetry);
+  }
+  while (Exchange(static_cast<uint16_t>(first_port_ + 2),
+                  "GET /v1/readyz HTTP/1.1\r\nHost: x\r\n"
+                  "Connection: close\r\n\r\n")
+             .rfind("HTTP/1.1 200", 0) != 0) {
+    REQUIRE_MESSAGE(SteadyNow() < end, "the gateway is not ready");
+    std::this_thread::sleep_for(kRetry);
+  }
+}
+
+GatewayRig::~GatewayRig() {
+  gateway_->Halt();
+  runner_.join();
+  gateway_.reset();
+  std::error_code ignored;
+  std::filesystem::remove_all(folder_, ignored);
+}
+
+void GatewayRig::Register(const std::string& id, const std::string& service,
+                          const std::string& address,
+                          const std::string& state) {
+  const std::string answer =
+      Control("PUT", "/v1/instances/" + id,
+              R"({"service":")" + service + R"(","address":")" + address +
+                  R"(","zone":"d1","version":"v1","slots":16,"state":")" +
+                  state + R"(","remainingMs":0,"born":1,"sequence":)" +
+                  std::to_string(++sequence_) + "}");
+  CHECK(answer.rfind("HTTP/1.1 200", 0) == 0);
+}
+
+std::string GatewayRig::Ask(const std::string& request) const {
+  return Exchange(static_cast<uint16_t>(first_port_ + 1), request);
+}
+
+std::string GatewayRig::Control(const std::string& method,
+                                const std::string& path,
+                                const std::string& body) const {
+  return Exchange(static_cast<uint16_t>(first_port_ + 3),
+                  method + " " + path +
+                      " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+                      "Content-Length: " +
+                      std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+
+tcp::socket GatewayRig::Connect(asio::io_context& io) const {
+  tcp::socket socket(io);
+  socket.connect({asio::ip::address_v4::loopback(),
+                  static_cast<uint16_t>(first_port_ + 1)});
+  return socket;
+}
+
+std::string GatewayRig::Log() const {
+  // Lines are handed on with each tick.
+  std::this_thread::sleep_for(kTwoTicks);
+  std::ifstream file(folder_ / "log");
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+}  // namespace gv
