Roles of engines for long prompts follow what they own now

Cause: half of the engines for long prompts were owners by an estimate and never helped, so the others read 9 engine-seconds a second of 14 wanted, while the prefill of archives that were refused would have fitted. Now an engine that owns nothing reads, owners are filled first, a prompt waits for memory at the leader, and engines with three or more short streams read only if fewer than a third of the others are clean. Ruled out: slow parts (first event 110 ms after the predicted part, of which 90 are a pass and three ways).

--- a/src/coordination/gateway/placement.cc
+++ b/src/coordination/gateway/placement.cc
@@ -61,7 +61,13 @@
 /** Parts of prompts that wait for their first event at one engine, if engines
  * are slower than predicted; one of them is usually read already. */
 constexpr int64_t kMostOpenParts = 1;
-constexpr double kPiledUpMs = 1000;
+/** An engine that owns nothing yet is a reader lost; about a pass. */
+constexpr double kNewOwnerMs = 60;
+/** Engines with so many short streams read no long prompts while at least one
+ * in kLeastClean has fewer: after a crest of short prompts they finish within
+ * three seconds. */
+constexpr int64_t kFewStreams = 3;
+constexpr size_t kLeastClean = 3;
 /** For each short stream that still writes at an engine. */
 constexpr double kLeftOverMs = 10;
 /** What a failed request costs: about its objective. */
@@ -311,49 +317,96 @@
   return std::max<size_t>(1, zone - std::min(zone, owners));
 }
 
+std::optional<size_t> Placer::TakeOwner(const PlacementRequest& request,
+                                        const std::vector<Candidate>& free) {
+  const EngineProfile& engine = *request.service_->engine_;
+  const int64_t tokens = request.prompt_tokens_ + request.answer_tokens_;
+  const bool fits = HasRoom(engine, Candidate(), tokens);
+  std::optional<size_t> best;
+  double best_rank = 0;
+  for (size_t i = 0; i < free.size(); ++i) {
+    // A prompt that waits for memory at its engine is passed by smaller ones
+    // for seconds, so it waits here.
+    if (fits && !HasRoom(engine, free[i], tokens)) {
+      continue;
+    }
+    const double rank = free[i].penalty_ms_ + WaitMs(engine, free[i], tokens) +
+                        (free[i].load_.requests_ == 0 ? kNewOwnerMs : 0);
+    if (!best || rank < best_rank) {
+      best = i;
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
+void Placer::LeaveShortStreams(std::vector<Candidate>& zone) {
+  const auto disturbs = [](const Candidate& candidate) {
+    return candidate.short_streams_ >= kFewStreams;
+  };
+  const auto disturbed =
+      static_cast<size_t>(std::count_if(zone.begin(), zone.end(), disturbs));
+  if ((zone.size() - disturbed) * kLeastClean >= zone.size()) {
+    std::erase_if(zone, disturbs);
+  }
+}
+
 std::optional<Placement> Placer::PlaceLongNow(
     TimePoint now, const PlacementRequest& request, const LoadLedger& granted,
     const EngineReadings& readings) const {
   const EngineProfile& engine = *request.service_->engine_;
   std::vector<Candidate> zone = LongZone(now, request);
-  if (zone.empty()) {
-    return std::nullopt;
+  for (Candidate& candidate : zone) {
+    const int64_t all = candidate.load_.requests_;
+    candidate.load_ = granted.At(candidate.entry_->target_.id_);
+    candidate.load_.prefill_ms_ = 0;
+    candidate.short_streams_ =
+        std::max<int64_t>(0, all - candidate.load_.requests_);
+    candidate.penalty_ms_ +=
+        kLeftOverMs * static_cast<double>(candidate.short_streams_);
   }
-  size_t free = 0;
-  const size_t owners = OwnerShare(engine, zone.size());
-  for (size_t i = 0; i < zone.size(); ++i) {
-    // Streams that were here before the border moved are slowed by reading.
-    const int64_t all = zone[i].load_.requests_;
-    zone[i].load_ = granted.At(zone[i].entry_->target_.id_);
-    const auto reading = readings.find(zone[i].entry_->target_.id_);
-    zone[i].load_.prefill_ms_ = 0;
+  LeaveShortStreams(zone);
+  std::vector<Candidate> free;
+  size_t readers = 0;
+  for (Candidate& candidate : zone) {
+    const TargetId& id = candidate.entry_->target_.id_;
+    readers += candidate.load_.requests_ == 0 ? 1 : 0;
+    const auto reading = readings.find(id);
     if (reading != readings.end()) {
       const int64_t left = (reading->second.until_ - now).Ms();
-      zone[i].load_.prefill_ms_ =
-          static_cast<double>(std::max<int64_t>(0, left)) +
-          (reading->second.open_ > kMostOpenParts ? kPiledUpMs : 0);
+      candidate.load_.prefill_ms_ =
+          static_cast<double>(std::max<int64_t>(0, left));
+      if (reading->second.open_ > kMostOpenParts ||
+          candidate.load_.prefill_ms_ > kReaderFreeMs) {
+        continue;
+      }
     }
-    zone[i].penalty_ms_ += kLeftOverMs * static_cast<double>(std::max<int64_t>(
-                                             0, all - zone[i].load_.requests_));
-    free += i >= owners && zone[i].load_.prefill_ms_ <= kReaderFreeMs ? 1 : 0;
+    free.push_back(candidate);
   }
-  const size_t readers = zone.size() - owners;
-  const auto wanted = static_cast<size_t>(
-      HelpersFor(engine, request.prompt_tokens_, kLongPartMs, kMostHelpers));
-  if (free < std::min(wanted, (readers + 1) / 2)) {
+  const std::optional<size_t> owner_at = TakeOwner(request, free);
+  if (!owner_at) {
     return std::nullopt;
   }
-  const bool owner_free = std::any_of(
-      zone.begin(), zone.begin() + static_cast<std::ptrdiff_t>(owners),
-      [](const Candidate& candidate) {
-        return candidate.load_.prefill_ms_ < kPiledUpMs;
-      });
-  if (!owner_free) {
+  const Candidate owner = free[*owner_at];
+  free.erase(free.begin() + static_cast<std::ptrdiff_t>(*owner_at));
+  readers -= owner.load_.requests_ == 0 ? 1 : 0;
+  // Engines that write take up a part one pass later, and keep all other
+  // readers of its prompt waiting.
+  std::erase_if(free, [](const Candidate& candidate) {
+    return candidate.load_.requests_ > 0 ||
+           candidate.penalty_ms_ >= kSuspectedMs;
+  });
+  const auto wanted = static_cast<size_t>(
+      HelpersFor(engine, request.prompt_tokens_, kLongPartMs, kMostHelpers));
+  if (free.size() < std::min(wanted, (readers + 1) / 2)) {
     return std::nullopt;
   }
-  Placement placement = PlaceLong(request, std::move(zone));
-  placement.work_.wait_ms_ = placement.wait_ms_;
-  return placement;
+  std::sort(free.begin(), free.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return a.penalty_ms_ + a.load_.prefill_ms_ <
+                     b.penalty_ms_ + b.load_.prefill_ms_;
+            });
+  return JoinReaders(request, owner, free);
 }
 
 Placement Placer::PlaceLong(const PlacementRequest& request,
@@ -362,47 +415,50 @@
   const int64_t tokens = request.prompt_tokens_ + request.answer_tokens_;
   const size_t owners = OwnerShare(engine, zone.size());
   const auto middle = zone.begin() + static_cast<std::ptrdiff_t>(owners);
-  // Engines read parts of others' prompts before their own, so an engine that
-  // helps never gets to its own prompts under load: owners don't help. And a
-  // prompt that waits for memory is passed by smaller ones for seconds, so room
-  // goes before everything else.
+  // Without the leader nobody knows which parts an engine still has to read. It
+  // reads parts of others' prompts before its own, so owners don't help.
   const auto rank = [&](const Candidate& candidate) {
     return candidate.penalty_ms_ + WaitMs(engine, candidate, tokens) +
            (HasRoom(engine, candidate, tokens) ? 0 : kNoRoomMs);
   };
-  const Candidate chosen = *std::min_element(
+  const Candidate owner = *std::min_element(
       zone.begin(), middle, [&rank](const Candidate& a, const Candidate& b) {
         return rank(a) < rank(b);
       });
   std::sort(middle, zone.end(), [](const Candidate& a, const Candidate& b) {
-    const bool a_busy = a.load_.prefill_ms_ > kReaderFreeMs;
-    const bool b_busy = b.load_.prefill_ms_ > kReaderFreeMs;
-    return a_busy != b_busy ? b_busy
-                            : a.penalty_ms_ + a.load_.prefill_ms_ <
-                                  b.penalty_ms_ + b.load_.prefill_ms_;
+    return a.penalty_ms_ + a.load_.prefill_ms_ <
+           b.penalty_ms_ + b.load_.prefill_ms_;
   });
   std::vector<Candidate> readers(middle, zone.end());
-  const auto busy =
-      std::find_if(readers.begin(), readers.end(), [](const Candidate& reader) {
-        return reader.load_.prefill_ms_ > kReaderFreeMs;
-      });
-  if (busy != readers.begin()) {
-    readers.erase(busy, readers.end());
+  const auto is_busy = [](const Candidate& reader) {
+    return reader.load_.prefill_ms_ > kReaderFreeMs;
+  };
+  if (!std::all_of(readers.begin(), readers.end(), is_busy)) {
+    std::erase_if(readers, is_busy);
   }
-  const int64_t helpers = HelpersFor(
+  return JoinReaders(request, owner, readers);
+}
+
+Placement Placer::JoinReaders(const PlacementRequest& request,
+                              const Candidate& owner,
+                              const std::vector<Candidate>& helpers) {
+  const EngineProfile& engine = *request.service_->engine_;
+  const int64_t tokens = request.prompt_tokens_ + request.answer_tokens_;
+  const int64_t count = HelpersFor(
       engine, request.prompt_tokens_, kLongPartMs,
-      std::min<int64_t>(kMostHelpers, static_cast<int64_t>(readers.size())));
+      std::min<int64_t>(kMostHelpers, static_cast<int64_t>(helpers.size())));
   const double part_ms = PrefillMs(engine, request.prompt_tokens_) /
-                         static_cast<double>(helpers + 1);
+                         static_cast<double>(count + 1);
   Placement placement;
-  placement.target_ = chosen.entry_->target_.id_;
+  placement.target_ = owner.entry_->target_.id_;
   placement.work_.is_short_ = false;
   placement.work_.parts_.push_back(
       PrefillPart{placement.target_, part_ms, tokens});
-  placement.wait_ms_ = WaitMs(engine, chosen, tokens);
-  AddHelpers(readers, static_cast<size_t>(helpers), part_ms, placement);
+  placement.wait_ms_ = WaitMs(engine, owner, tokens);
+  AddHelpers(helpers, static_cast<size_t>(count), part_ms, placement);
   placement.wait_ms_ += part_ms;
-  Reserve(engine, request, readers, placement);
+  placement.work_.wait_ms_ = placement.wait_ms_;
+  Reserve(engine, request, helpers, placement);
   return placement;
 }
 
--- a/src/coordination/gateway/placement.h
+++ b/src/coordination/gateway/placement.h
@@ -90,8 +90,9 @@
   struct Candidate {
     const DirectoryEntry* entry_ = nullptr;  ///< The target.
     TargetLoad load_;                        ///< Its work.
-    uint64_t order_ = 0;     ///< Place in an order that all gateways share.
-    double penalty_ms_ = 0;  ///< For distance, warm-up and failures.
+    uint64_t order_ = 0;         ///< Place in an order that all gateways share.
+    double penalty_ms_ = 0;      ///< For distance, warm-up and failures.
+    int64_t short_streams_ = 0;  ///< That reading of long prompts disturbs.
   };
 
   std::vector<Candidate> Candidates(TimePoint now,
@@ -109,6 +110,12 @@
                       std::vector<Candidate> zone) const;
   std::vector<Candidate> LongZone(TimePoint now,
                                   const PlacementRequest& request) const;
+  static void LeaveShortStreams(std::vector<Candidate>& zone);
+  static Placement JoinReaders(const PlacementRequest& request,
+                               const Candidate& owner,
+                               const std::vector<Candidate>& helpers);
+  static std::optional<size_t> TakeOwner(const PlacementRequest& request,
+                                         const std::vector<Candidate>& free);
   size_t OwnerShare(const EngineProfile& engine, size_t engines) const;
   static bool HasRoom(const EngineProfile& engine, const Candidate& candidate,
                       int64_t tokens);
