--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -11,6 +11,7 @@
 #include "cli/command_type.h"
 #include "cli/control_cmd.h"
 #include "cli/exit_code.h"
+#include "cli/explain_cmd.h"
 #include "cli/replay_cmd.h"
 #include "cli/run_cmd.h"
 #include "cli/settings_cmd.h"
@@ -125,6 +126,9 @@
       "  --from=MS --to=MS      wall time in milliseconds since 1970\n"
       "  --output=text|json|html\n",
       "Merges the time lines of all processes in causal order.", &RunTimeline}},
+    {{"explain", "ID [FILE...]", "",
+      "Tells what became of a request from the logs of gateways, and why.",
+      &RunExplain}},
     {{"replay", "TRACE...", "",
       "Feeds recorded inputs to the same cores and compares their actions.",
       &RunReplay}},
--- a/tests/gateway_path_test.cc
+++ b/tests/platform/gateway_path_test.cc
@@ -4,7 +4,7 @@
 
 #include <boost/asio/write.hpp>
 
-#include "support/gateway_rig.h"
+#include "platform/gateway_rig.h"
 
 namespace gv {
 namespace {
--- a/tests/support/gateway_rig.cc
+++ b/tests/platform/gateway_rig.cc
@@ -1,5 +1,5 @@
 /** @file gateway_rig.cc Sockets of the scripted targets and callers. */
-#include "support/gateway_rig.h"
+#include "platform/gateway_rig.h"
 
 #include <doctest/doctest.h>
 #include <fcntl.h>
