Let long prompts wait for the lease up to the length of an election

Now a request waits for at most a third of its objective; without a known configuration, long prompts for 1.2 s and others for 60 ms. Ruled out: a shorter election (voters must not vote within the lease they may have granted before the restart; 75 ms would be gained). Test: 'long prompts wait for an election, others don't'.

--- a/src/coordination/gateway/attempt_policy.h
+++ b/src/coordination/gateway/attempt_policy.h
@@ -35,6 +35,15 @@
   kBreakOff,    ///< The answer that has begun stays incomplete.
 };
 
+/**
+ * @return How long a request may wait for its gateway's lease, so that it can
+ * still be served within its objective; an election takes about a second, which
+ * long prompts have and others have not. @param prompt_tokens Zero for calls.
+ * @param objective Of its route, or zero if no configuration is known. Load
+ * pattern: all gateways restart at once. Thread safety: pure.
+ */
+Duration WaitForLease(int64_t prompt_tokens, Duration objective);
+
 /** @return True if requests of this kind may run more than once. Thread safety:
  * pure. */
 bool IsRepeatable(RouteKind kind, bool resumable);
--- a/src/transport/gateway/forward.cc
+++ b/src/transport/gateway/forward.cc
@@ -34,11 +34,36 @@
       events_(facts_.last_event_) {}
 
 void Forward::Start() {
+  if (gateway_.TakesRequests() && !HasLease()) {
+    lease_by_ = arrived_ + LeaseWait();
+    return;
+  }
+  Proceed();
+}
+
+void Forward::Proceed() {
   if (Admit()) {
     TryTarget();
   }
 }
 
+bool Forward::HasLease() const {
+  return gateway_.Table() != nullptr &&
+         gateway_.Registry().HasLease(gateway_.Now());
+}
+
+Duration Forward::LeaseWait() const {
+  const RoutingTable* table = gateway_.Table();
+  const auto host = request_[http::field::host];
+  const auto path = request_.target();
+  const Route* route = table == nullptr
+                           ? nullptr
+                           : table->FindRoute({host.data(), host.size()},
+                                              {path.data(), path.size()});
+  return WaitForLease(facts_.prompt_tokens_,
+                      route == nullptr ? Duration() : route->objective_);
+}
+
 bool Forward::Admit() {
   const TimePoint now = gateway_.Now();
   const RoutingTable* table = gateway_.Table();
@@ -46,7 +71,7 @@
     Refuse(kUnavailable, "stopping", kOtherGatewayRetry);
     return false;
   }
-  if (table == nullptr || !gateway_.Registry().HasLease(now)) {
+  if (!HasLease()) {
     Refuse(kUnavailable, table == nullptr ? "no-configuration" : "no-lease",
            kLeaseRetry);
     return false;
@@ -181,6 +206,13 @@
   if (ended_) {
     return;
   }
+  if (lease_by_ != TimePoint()) {
+    if (HasLease() || now >= lease_by_) {
+      lease_by_ = TimePoint();
+      Proceed();
+    }
+    return;
+  }
   if (now >= limit_) {
     if (may_have_run_ > 0 || (attempt_ && sent_ > 0)) {
       constexpr unsigned kGatewayTimeout = 504;
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -60,6 +60,9 @@
   };
 
   // forward.cc: admission and ends.
+  void Proceed();
+  bool HasLease() const;
+  Duration LeaseWait() const;
   bool Admit();
   bool Authenticate();
   void Refuse(unsigned status, const std::string& reason, Duration retry_after);
@@ -137,6 +140,7 @@
   Duration longest_pause_;                  ///< Between two events.
   TimePoint first_event_;                   ///< When the caller got it.
 
+  TimePoint lease_by_;              ///< Waits for a lease until then.
   bool asked_leader_ = false;       ///< Only once for each request.
   std::optional<OperationId> ask_;  ///< Open at the leader.
   TimePoint leader_answer_by_;      ///< When to go on without it.
--- a/tests/gateway_attempt_test.cc
+++ b/tests/gateway_attempt_test.cc
@@ -74,6 +74,16 @@
   CHECK_FALSE(MayTryAgain(stream, kUnknown));
 }
 
+TEST_CASE("attempt policy: long prompts wait for an election, others don't") {
+  CHECK(WaitForLease(0, Duration()) <= 60_ms);
+  CHECK(WaitForLease(5000, Duration()) <= 60_ms);
+  CHECK(WaitForLease(154000, Duration()) >= 1_s);
+  CHECK(WaitForLease(154000, Duration()) <= 1500_ms);
+  for (const Duration objective : {120_ms, 300_ms, 1500_ms, 3_s}) {
+    CHECK(WaitForLease(154000, objective) <= objective / 3);
+  }
+}
+
 TEST_CASE("retry window: the sum over gateways stays below the bound") {
   // A crest: each gateway gets 20 requests a second, all of which fail.
   constexpr size_t kGateways = 6;
