Let a long prompt begin when a third of the readers are free

Load pattern: bursts of archives at 2.8 times the mean; engines read 9 to 10 engine-seconds a second of 14 wanted. Cause: a prompt waited for half of the readers while the free ones idled.

--- a/src/coordination/gateway/placement.cc
+++ b/src/coordination/gateway/placement.cc
@@ -61,6 +61,9 @@
 /** Parts of prompts that wait for their first event at one engine, if engines
  * are slower than predicted; one of them is usually read already. */
 constexpr int64_t kMostOpenParts = 1;
+/** A long prompt begins once one in so many readers is free: with fewer its
+ * parts become longer, with more the free ones idle meanwhile. */
+constexpr size_t kBeginWith = 3;
 /** An engine that owns nothing yet is a reader lost; about a pass. */
 constexpr double kNewOwnerMs = 60;
 /** Engines with so many short streams read no long prompts while at least one
@@ -398,7 +401,7 @@
   });
   const auto wanted = static_cast<size_t>(
       HelpersFor(engine, request.prompt_tokens_, kLongPartMs, kMostHelpers));
-  if (free.size() < std::min(wanted, (readers + 1) / 2)) {
+  if (free.size() < std::min(wanted, (readers + kBeginWith - 1) / kBeginWith)) {
     return std::nullopt;
   }
   std::sort(free.begin(), free.end(),
