--- a/src/coordination/gateway/target_directory.cc
+++ b/src/coordination/gateway/target_directory.cc
@@ -50,7 +50,6 @@
       RetireOthersAt(target);
     }
     entries_[target.id_] = fresh;
-    ++version_;
     return Change::kChanged;
   }
   DirectoryEntry& entry = found->second;
@@ -68,7 +67,6 @@
   if (target.state_ != RegistrationState::kGone) {
     RetireOthersAt(target);
   }
-  ++version_;
   return Change::kChanged;
 }
 
@@ -81,7 +79,6 @@
   }
   found->second.target_.state_ = RegistrationState::kGone;
   found->second.heard_ = now;
-  ++version_;
   return &found->second.target_;
 }
 
@@ -101,7 +98,6 @@
     }
     dropped.push_back(it->first);
     it = entries_.erase(it);
-    ++version_;
   }
   return dropped;
 }
--- a/src/coordination/gateway/target_directory.h
+++ b/src/coordination/gateway/target_directory.h
@@ -55,8 +55,6 @@
   /** @return Hash of the ids, starts and states of all that are not gone; equal
    * for equal tables. */
   uint64_t Digest() const;
-  /** @return Grows with each Change::kChanged and each expiry. */
-  uint64_t Version() const { return version_; }
   /** @return All rows for another gateway, with their ages. */
   std::vector<TargetRegistration> Rows(TimePoint now) const;
   /** @return One row with its age. @pre @p id is known. */
@@ -69,7 +67,6 @@
   std::map<TargetId, DirectoryEntry> entries_;  ///< By id.
   std::map<std::string, TargetId> by_address_;  ///< Latest start there.
   TimePoint newest_heard_;                      ///< Of all registrations.
-  uint64_t version_ = 0;                        ///< Counts changes.
 };
 
 }  // namespace gv
--- a/src/transport/gateway/forward.cc
+++ b/src/transport/gateway/forward.cc
@@ -214,6 +214,11 @@
     return;
   }
   if (now >= limit_) {
+    if (own_failure_ && !answer_begun_) {
+      const WholeAnswer answer = std::move(*own_failure_);
+      PassWholeAnswer(answer);
+      return;
+    }
     if (may_have_run_ > 0 || (attempt_ && sent_ > 0)) {
       constexpr unsigned kGatewayTimeout = 504;
       FailWith(kGatewayTimeout, "deadline");
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -24,8 +24,6 @@
 constexpr Duration kFullRetry = 700_ms;
 /** A target that left or failed is replaced or trusted again by then. */
 constexpr Duration kNoTargetRetry = 1_s;
-/** Targets that say nothing of idle connections keep them for this long. */
-constexpr Duration kDefaultKeepAlive = 5_s;
 /** Callers give more than this part, in tenths, of the route's timeout when
  * they first come; after a refusal they have less left. */
 constexpr int64_t kFreshTenths = 8;
@@ -284,7 +282,7 @@
     return;
   }
   gateway_.Pool().Release(gateway_.Now(), attempt_->connection_,
-                          facts.keep_alive_.value_or(kDefaultKeepAlive));
+                          facts.keep_alive_);
   if (facts.not_run_) {
     --may_have_run_;
     OnAttemptFailed(AttemptEnd{RunState::kNotRun, false}, HealthOutcome::kFull,
--- a/src/transport/gateway/gateway.cc
+++ b/src/transport/gateway/gateway.cc
@@ -33,16 +33,7 @@
 RegistrySettings MakeRegistrySettings(const ProcessSettings& settings) {
   RegistrySettings registry;
   registry.self_ = NodeId(settings.listen_peers_);
-  std::string own_ip;
-  std::string ip;
-  uint16_t peer_port = 0;
-  uint16_t port = 0;
-  SplitAddress(settings.listen_peers_, own_ip, peer_port);
-  for (const std::string& seed : settings.gateway_seeds_) {
-    if (SplitAddress(seed, ip, port)) {
-      registry.seeds_.emplace_back(ip + ":" + std::to_string(peer_port));
-    }
-  }
+  registry.seeds_ = SeedNodes(settings);
   registry.has_disk_ = !settings.data_folder_.empty();
   registry.tolerated_losses_ = settings.gateway_tolerated_losses_;
   registry.revocation_ = Duration(settings.gateway_revocation_ms_);
@@ -56,6 +47,20 @@
 
 }  // namespace
 
+std::vector<NodeId> SeedNodes(const ProcessSettings& settings) {
+  std::string ip;
+  uint16_t peer_port = 0;
+  uint16_t port = 0;
+  SplitAddress(settings.listen_peers_, ip, peer_port);
+  std::vector<NodeId> seeds;
+  for (const std::string& seed : settings.gateway_seeds_) {
+    if (SplitAddress(seed, ip, port)) {
+      seeds.emplace_back(ip + ":" + std::to_string(peer_port));
+    }
+  }
+  return seeds;
+}
+
 Gateway::Gateway(ProcessSettings settings, std::string settings_file,
                  const WireCodec& codec, int log)
     : settings_(std::move(settings)),
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -214,6 +214,10 @@
   prometheus::Family<prometheus::Histogram>& first_events_;  ///< By kind.
 };
 
+/** @return The peer addresses of the seeds, whose settings may name any of
+ * their ports. Thread safety: pure. */
+std::vector<NodeId> SeedNodes(const ProcessSettings& settings);
+
 /** Removes the headers that concern one connection only. Thread safety: pure.
  */
 void RemoveHopHeaders(HttpFields& fields);
--- a/src/transport/gateway/gateway_orders.cc
+++ b/src/transport/gateway/gateway_orders.cc
@@ -9,7 +9,6 @@
 constexpr Duration kOrderIdle = 5_s;
 constexpr Duration kReleaseRetry = 400_ms;
 constexpr int kMostReleases = 4;
-constexpr Duration kDefaultKeepAlive = 5_s;
 
 std::string OrderText(const std::string& address, const TargetOrder& order) {
   return "POST " + order.path_ + " HTTP/1.1\r\nHost: " + address +
@@ -55,8 +54,7 @@
   const auto found = orders_.find(id);
   const OpenOrder order = std::move(found->second);
   orders_.erase(found);
-  pool_.Release(Now(), order.connection_,
-                order.keep_alive_.value_or(kDefaultKeepAlive));
+  pool_.Release(Now(), order.connection_, order.keep_alive_);
   order.done_(order.status_);
 }
 
--- a/src/transport/gateway/gateway_registry.cc
+++ b/src/transport/gateway/gateway_registry.cc
@@ -33,19 +33,10 @@
 Result<void> Gateway::OpenDisk() {
   ReplicaSettings replica;
   replica.self_ = self_;
-  bool is_seed = false;
-  std::string ip;
-  std::string own_ip;
-  uint16_t port = 0;
-  uint16_t peer_port = 0;
-  SplitAddress(settings_.listen_peers_, own_ip, peer_port);
-  for (const std::string& seed : settings_.gateway_seeds_) {
-    if (SplitAddress(seed, ip, port)) {
-      replica.initial_members_.emplace_back(ip + ":" +
-                                            std::to_string(peer_port));
-      is_seed = is_seed || ip == own_ip;
-    }
-  }
+  replica.initial_members_ = SeedNodes(settings_);
+  const bool is_seed = std::find(replica.initial_members_.begin(),
+                                 replica.initial_members_.end(),
+                                 self_) != replica.initial_members_.end();
   BOOST_OUTCOME_TRY(auto loaded,
                     FileDisk::Open(settings_.data_folder_, settings_.cluster_,
                                    self_, settings_.bootstrap_ && is_seed));
--- a/src/transport/gateway/target_pool.cc
+++ b/src/transport/gateway/target_pool.cc
@@ -12,6 +12,8 @@
  * a connection that is being closed. */
 constexpr Duration kKeepMargin = 700_ms;
 constexpr Duration kLongestIdle = 20_s;
+/** Targets that say nothing of idle connections keep them for this long. */
+constexpr Duration kDefaultKeepAlive = 5_s;
 
 }  // namespace
 
@@ -39,11 +41,12 @@
 
 void TargetPool::Release(TimePoint now,
                          const std::shared_ptr<TargetConnection>& connection,
-                         Duration keep_alive) {
+                         std::optional<Duration> keep_alive) {
   if (!connection->IsReusable()) {
     return;
   }
-  const Duration most = std::min(kLongestIdle, keep_alive - kKeepMargin);
+  const Duration most = std::min(
+      kLongestIdle, keep_alive.value_or(kDefaultKeepAlive) - kKeepMargin);
   if (most <= Duration()) {
     connection->Cancel();
     return;
--- a/src/transport/gateway/target_pool.h
+++ b/src/transport/gateway/target_pool.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -28,11 +29,11 @@
   std::shared_ptr<TargetConnection> Acquire(TimePoint now,
                                             const std::string& address,
                                             Duration most_idle);
-  /** Takes a connection back. @param keep_alive How long the target keeps it.
-   */
+  /** Takes a connection back. @param keep_alive How long the target keeps it,
+   * if it said so. */
   void Release(TimePoint now,
                const std::shared_ptr<TargetConnection>& connection,
-               Duration keep_alive);
+               std::optional<Duration> keep_alive);
   /** Closes what has been idle or connecting for too long. */
   void OnTick(TimePoint now);
   /** Closes everything. */
