--- a/tests/gateway_placement_test.cc
+++ b/tests/gateway_placement_test.cc
@@ -87,94 +87,120 @@
  * 6 gateways that hear of each other's work each 50 ms, 23 engines; each answer
  * takes 2.4 s.
  */
-ShortOutcome ServeShort(uint64_t seed, const ShortLoad& pattern) {
-  constexpr int kGateways = 6;
-  constexpr int kEngines = 23;
-  constexpr double kObjectiveMs = 300;
-  TargetDirectory directory;
-  AddEngines(directory, kEngines);
-  std::vector<std::unique_ptr<Chooser>> gateways;
-  gateways.reserve(kGateways);
-  for (int i = 0; i < kGateways; ++i) {
-    gateways.push_back(
-        std::make_unique<Chooser>("g" + std::to_string(i), directory));
+class ShortReplay {
+ public:
+  ShortReplay(uint64_t seed, const ShortLoad& pattern)
+      : state_(seed), pattern_(pattern) {
+    AddEngines(directory_, kEngines);
+    for (int i = 0; i < kGateways; ++i) {
+      gateways_.push_back(
+          std::make_unique<Chooser>("g" + std::to_string(i), directory_));
+    }
   }
-  const Service service = Model();
-  constexpr Duration kFirstEvent = 130_ms;
-  constexpr Duration kAnswer = 2400_ms;
+
+  ShortOutcome Run() {
+    for (TimePoint now(0); now < TimePoint(8000); now = now + 1_ms) {
+      Advance(now);
+      if (now.Ms() % 50 == 0) {
+        Share(now);
+      }
+      const auto rate = static_cast<uint64_t>(
+          IsCounted(now) ? pattern_.rate_ : pattern_.quiet_rate_);
+      if (Next() % 1000 < rate) {
+        Arrive(now);
+      }
+    }
+    return outcome_;
+  }
+
+ private:
+  static constexpr int kGateways = 6;
+  static constexpr int kEngines = 23;
+  static constexpr double kObjectiveMs = 300;
+  static constexpr Duration kFirstEvent = 130_ms;
+  static constexpr Duration kAnswer = 2400_ms;
+
+  /** A request in progress. */
   struct Running {
     TimePoint start_;
     size_t gateway_ = 0;
     WorkId work_;
     TargetId target_;
   };
-  std::deque<Running> running;
-  std::map<TargetId, int64_t> counts;
-  ShortOutcome outcome;
-  uint64_t state = seed;
-  const auto next = [&state]() {
-    state = state * 6364136223846793005ULL + 1442695040888963407ULL;
-    return state >> 33U;
-  };
-  for (TimePoint now(0); now < TimePoint(8000); now = now + 1_ms) {
-    for (const Running& request : running) {
+
+  static bool IsCounted(TimePoint now) { return now > TimePoint(3000); }
+
+  uint64_t Next() {
+    state_ = state_ * 6364136223846793005ULL + 1442695040888963407ULL;
+    return state_ >> 33U;
+  }
+
+  void Advance(TimePoint now) {
+    for (const Running& request : running_) {
       if (request.start_ + kFirstEvent == now) {
-        gateways[request.gateway_]->ledger_.FirstEvent(request.work_);
+        gateways_[request.gateway_]->ledger_.FirstEvent(request.work_);
       }
     }
-    while (!running.empty() && running.front().start_ + kAnswer <= now) {
-      gateways[running.front().gateway_]->ledger_.End(running.front().work_);
-      --counts[running.front().target_];
-      running.pop_front();
+    while (!running_.empty() && running_.front().start_ + kAnswer <= now) {
+      const Running& done = running_.front();
+      gateways_[done.gateway_]->ledger_.End(done.work_);
+      --counts_[done.target_];
+      running_.pop_front();
     }
-    if (now.Ms() % 50 == 0) {
-      gateways[0]->ledger_.NoteLongDemand(now, pattern.long_prefill_ms_ / 20);
-      for (const auto& from : gateways) {
-        const GatewayLoad load = from->ledger_.Own(now);
-        for (const auto& to : gateways) {
-          if (to != from) {
-            to->ledger_.SetRemote(now, from->node_, load);
-          }
+  }
+
+  void Share(TimePoint now) {
+    gateways_[0]->ledger_.NoteLongDemand(now, pattern_.long_prefill_ms_ / 20);
+    for (const auto& from : gateways_) {
+      const GatewayLoad load = from->ledger_.Own(now);
+      for (const auto& to : gateways_) {
+        if (to != from) {
+          to->ledger_.SetRemote(now, from->node_, load);
         }
       }
     }
-    const bool counted = now > TimePoint(3000);
-    const auto rate =
-        static_cast<uint64_t>(counted ? pattern.rate_ : pattern.quiet_rate_);
-    if (next() % 1000 >= rate) {
-      continue;
-    }
-    const bool at_busiest = next() % 100 < pattern.busiest_percent_;
-    const size_t index = at_busiest ? 1 : next() % kGateways;
-    Chooser& gateway = *gateways[index];
+  }
+
+  void Arrive(TimePoint now) {
+    const bool at_busiest = Next() % 100 < pattern_.busiest_percent_;
+    const size_t index = at_busiest ? 1 : Next() % kGateways;
+    Chooser& gateway = *gateways_[index];
     PlacementRequest request;
-    request.service_ = &service;
+    request.service_ = &service_;
     request.prompt_tokens_ = 4960;
     request.answer_tokens_ = 1700;
-    request.hash_ = next();
+    request.hash_ = Next();
     const auto placement = gateway.placer_.Place(now, request);
     REQUIRE(placement.has_value());
     if (placement->wait_ms_ > kObjectiveMs) {
-      outcome.refused_ += counted ? 1 : 0;
-      continue;
+      outcome_.refused_ += IsCounted(now) ? 1 : 0;
+      return;
     }
     const WorkId work = gateway.ledger_.Begin(now, placement->work_);
-    running.push_back({now, index, work, placement->target_});
-    const int64_t count = ++counts[placement->target_];
-    if (counted) {
-      outcome.most_ = std::max(outcome.most_, count);
-      outcome.streams_ =
-          std::max(outcome.streams_, static_cast<int64_t>(running.size()));
+    running_.push_back({now, index, work, placement->target_});
+    const int64_t count = ++counts_[placement->target_];
+    if (IsCounted(now)) {
+      outcome_.most_ = std::max(outcome_.most_, count);
+      outcome_.streams_ =
+          std::max(outcome_.streams_, static_cast<int64_t>(running_.size()));
     }
   }
-  return outcome;
-}
+
+  uint64_t state_;
+  ShortLoad pattern_;
+  TargetDirectory directory_;
+  std::vector<std::unique_ptr<Chooser>> gateways_;
+  Service service_ = Model();
+  std::deque<Running> running_;
+  std::map<TargetId, int64_t> counts_;
+  ShortOutcome outcome_;
+};
 
 TEST_CASE("placement: gateways don't rush to one engine at the crest") {
   // 264 streams on 22 engines are 12 each. With the least loaded engine by
   // reports alone some engine had 25 on the users' bench.
   for (uint64_t seed = 1; seed <= 5; ++seed) {
-    CHECK(ServeShort(seed, ShortLoad()).most_ <= Engine().slots_ + 1);
+    CHECK(ShortReplay(seed, ShortLoad()).Run().most_ <= Engine().slots_ + 1);
   }
 }
 
@@ -187,7 +213,7 @@
   const ShortLoad after_archives{20, 100, 15, 12000};
   for (const ShortLoad& load : {surge, one_busy_gateway, after_archives}) {
     for (uint64_t seed = 1; seed <= 5; ++seed) {
-      const ShortOutcome outcome = ServeShort(seed, load);
+      const ShortOutcome outcome = ShortReplay(seed, load).Run();
       CHECK(outcome.streams_ < 23 * Engine().slots_ * 85 / 100);
       CHECK(outcome.refused_ == 0);
     }
--- a/tests/request_story_test.cc
+++ b/tests/request_story_test.cc
@@ -5,36 +5,37 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <sstream>
 
 namespace gv {
 namespace {
 
-/** Lines as the processes write them, with the prefix of a collector on some.
- */
-const std::vector<std::string> kLog = {
-    "  9.1 g2 t=900 node=g2 level=warning n=632 event=dependency-lost lease",
-    "t=1000 node=g1 level=debug n=610 event=forward-admitted attempt=a1 "
-    "route=r prompt=4000 deadline_ms=9000 config=7",
-    "t=1000 node=g1 level=debug n=612 event=forward-sent target=e1 attempt=a1 "
-    "route=r tries=1 wait_ms=100 age_ms=3200",
-    "t=1900 node=g1 level=info n=613 event=forward-retried target=e1 "
-    "attempt=a1 route=r reason=silent sent=1",
-    "t=1900 node=g1 level=info n=620 event=target-suspected target=e1 "
-    "failure_rate=0.12",
-    "t=1900 node=g1 level=info n=620 event=target-suspected target=e7 "
-    "failure_rate=0.12",
-    "t=1901 node=g1 level=warning n=616 event=forward-failed attempt=a1 "
-    "route=r status=502 reason=no-target sent=1 may_have_run=1 waited_ms=901",
-    "t=1500 node=g2 level=info n=611 event=forward-refused attempt=a2 route=r "
-    "status=503 reason=no-lease retry_ms=1000 waited_ms=0",
-    "t=2000 node=g1 level=debug n=610 event=forward-admitted attempt=a3 "
-    "route=r prompt=4000",
-    "t=2000 node=g1 level=debug n=615 event=forward-finished target=e2 "
-    "attempt=a4 status=200 first_ms=900 total_ms=1500 predicted_ms=120",
-};
+/** Lines as the processes write them, one with the prefix of a collector. */
+constexpr std::string_view kLogText =
+    R"(  9.1 g2 t=900 node=g2 level=warning n=632 event=dependency-lost lease
+t=1000 node=g1 level=debug n=610 event=forward-admitted attempt=a1 route=r prompt=4000 deadline_ms=9000 config=7
+t=1000 node=g1 level=debug n=612 event=forward-sent target=e1 attempt=a1 route=r tries=1 wait_ms=100 age_ms=3200
+t=1900 node=g1 level=info n=613 event=forward-retried target=e1 attempt=a1 route=r reason=silent sent=1
+t=1900 node=g1 level=info n=620 event=target-suspected target=e1 failure_rate=0.12
+t=1900 node=g1 level=info n=620 event=target-suspected target=e7 failure_rate=0.12
+t=1901 node=g1 level=warning n=616 event=forward-failed attempt=a1 route=r status=502 reason=no-target sent=1 may_have_run=1 waited_ms=901
+t=1500 node=g2 level=info n=611 event=forward-refused attempt=a2 route=r status=503 reason=no-lease retry_ms=1000 waited_ms=0
+t=2000 node=g1 level=debug n=610 event=forward-admitted attempt=a3 route=r prompt=4000
+t=2000 node=g1 level=debug n=615 event=forward-finished target=e2 attempt=a4 status=200 first_ms=900 total_ms=1500 predicted_ms=120)";
+
+std::vector<std::string> SplitLines() {
+  std::vector<std::string> lines;
+  std::istringstream text{std::string(kLogText)};
+  for (std::string line; std::getline(text, line);) {
+    lines.push_back(line);
+  }
+  return lines;
+}
+
+const std::vector<std::string> kLog = SplitLines();
 
 RequestStory Story(const std::string& attempt,
-                   std::vector<std::string> log = kLog) {
+                   const std::vector<std::string>& log = kLog) {
   std::vector<LogLine> lines;
   for (const std::string& text : log) {
     auto line = ParseLogLine(text);
