--- a/src/coordination/gateway/load_ledger.cc
+++ b/src/coordination/gateway/load_ledger.cc
@@ -17,6 +17,52 @@
 
 }  // namespace
 
+void LoadLedger::SetLeader(const NodeId& leader) {
+  if (leader == leader_) {
+    return;
+  }
+  leader_ = leader;
+  for (auto& [target, own] : own_) {
+    own.granted_requests_ = 0;
+    own.granted_tokens_ = 0;
+    own.granted_prefill_ms_ = 0;
+  }
+  for (const auto& [id, open] : work_) {
+    AddGranted(open.work_, 1);
+  }
+}
+
+bool LoadLedger::IsGranted(const PlacedWork& work) const {
+  return !work.granted_by_.IsNone() && work.granted_by_ == leader_;
+}
+
+void LoadLedger::AddGranted(const PlacedWork& work, int64_t sign) {
+  if (!IsGranted(work)) {
+    return;
+  }
+  own_[work.parts_.front().target_].granted_requests_ += sign;
+  for (const PrefillPart& part : work.parts_) {
+    OwnLoad& own = own_[part.target_];
+    own.granted_tokens_ += sign * part.tokens_;
+    own.granted_prefill_ms_ += static_cast<double>(sign) * part.ms_;
+  }
+}
+
+void LoadLedger::AddRemote(const Remote& remote, int64_t sign) {
+  for (const auto& [target, row] : remote.rows_) {
+    TargetLoadRow& sum = remote_sum_[target];
+    sum.requests_ += sign * row.requests_;
+    sum.prefill_ms_ += sign * row.prefill_ms_;
+    sum.tokens_ += sign * row.tokens_;
+    sum.granted_requests_ += sign * row.granted_requests_;
+    sum.granted_tokens_ += sign * row.granted_tokens_;
+    sum.granted_prefill_ms_ += sign * row.granted_prefill_ms_;
+    if (sum.requests_ == 0 && sum.prefill_ms_ == 0 && sum.tokens_ == 0) {
+      remote_sum_.erase(target);
+    }
+  }
+}
+
 WorkId LoadLedger::Begin(TimePoint now, const PlacedWork& work) {
   last_ = last_.Next();
   for (const PrefillPart& part : work.parts_) {
@@ -25,6 +71,7 @@
     own.tokens_ += part.tokens_;
   }
   ++own_[work.parts_.front().target_].requests_;
+  AddGranted(work, 1);
   if (work.is_short_) {
     ++short_streams_;
   } else {
@@ -51,6 +98,7 @@
   for (PrefillPart& part : found->second.work_.parts_) {
     OwnLoad& own = own_[part.target_];
     own.prefill_ms_ = std::max(0.0, own.prefill_ms_ - part.ms_);
+    own.granted_prefill_ms_ -= IsGranted(found->second.work_) ? part.ms_ : 0;
     part.ms_ = 0;
   }
 }
@@ -66,6 +114,7 @@
     own_[part.target_].tokens_ -= part.tokens_;
   }
   --own_[work.parts_.front().target_].requests_;
+  AddGranted(work, -1);
   short_streams_ -= work.is_short_ ? 1 : 0;
   long_tokens_ -= work.is_short_ ? 0 : work.parts_.front().tokens_;
   work_.erase(found);
@@ -86,16 +135,26 @@
 void LoadLedger::SetRemote(TimePoint now, const NodeId& gateway,
                            const GatewayLoad& load) {
   Remote& remote = remote_[gateway];
-  remote = Remote{
-      now, {}, load.short_streams_, load.long_prefill_ms_, load.long_tokens_};
+  AddRemote(remote, -1);
+  remote = Remote{now,
+                  {},
+                  load.short_streams_,
+                  load.long_prefill_ms_,
+                  load.long_tokens_,
+                  load.repeats_};
   for (const TargetLoadRow& row : load.rows_) {
     remote.rows_[row.target_] = row;
   }
+  AddRemote(remote, 1);
 }
 
 void LoadLedger::ForgetRemote(TimePoint now, Duration age) {
-  std::erase_if(remote_, [now, age](const auto& item) {
-    return now - item.second.at_ > age;
+  std::erase_if(remote_, [this, now, age](const auto& item) {
+    const bool old = now - item.second.at_ > age;
+    if (old) {
+      AddRemote(item.second, -1);
+    }
+    return old;
   });
 }
 
@@ -106,14 +165,27 @@
     load.tokens_ = own->second.tokens_;
     load.prefill_ms_ = own->second.prefill_ms_;
   }
-  for (const auto& [gateway, remote] : remote_) {
-    const auto row = remote.rows_.find(target);
-    if (row == remote.rows_.end()) {
-      continue;
-    }
-    load.requests_ += row->second.requests_;
-    load.tokens_ += row->second.tokens_;
-    load.prefill_ms_ += static_cast<double>(row->second.prefill_ms_);
+  if (const auto sum = remote_sum_.find(target); sum != remote_sum_.end()) {
+    load.requests_ += sum->second.requests_;
+    load.tokens_ += sum->second.tokens_;
+    load.prefill_ms_ += static_cast<double>(sum->second.prefill_ms_);
+  }
+  return load;
+}
+
+TargetLoad LoadLedger::NotGranted(const TargetId& target) const {
+  TargetLoad load;
+  if (const auto own = own_.find(target); own != own_.end()) {
+    load.requests_ = own->second.requests_ - own->second.granted_requests_;
+    load.tokens_ = own->second.tokens_ - own->second.granted_tokens_;
+    load.prefill_ms_ = std::max(
+        0.0, own->second.prefill_ms_ - own->second.granted_prefill_ms_);
+  }
+  if (const auto sum = remote_sum_.find(target); sum != remote_sum_.end()) {
+    load.requests_ += sum->second.requests_ - sum->second.granted_requests_;
+    load.tokens_ += sum->second.tokens_ - sum->second.granted_tokens_;
+    load.prefill_ms_ += static_cast<double>(std::max<int64_t>(
+        0, sum->second.prefill_ms_ - sum->second.granted_prefill_ms_));
   }
   return load;
 }
@@ -133,8 +205,10 @@
            item.second.prefill_ms_ < 1;
   });
   for (const auto& [target, own] : own_) {
-    load.rows_.push_back(TargetLoadRow{
-        target, own.requests_, std::lround(own.prefill_ms_), own.tokens_});
+    load.rows_.push_back(
+        TargetLoadRow{target, own.requests_, std::lround(own.prefill_ms_),
+                      own.tokens_, own.granted_requests_, own.granted_tokens_,
+                      std::lround(own.granted_prefill_ms_)});
   }
   load.short_streams_ = short_streams_;
   load.long_prefill_ms_ = static_cast<int64_t>(OwnLongPrefillMs(now));
@@ -161,6 +235,19 @@
   return hash % (remote_.size() + 1) == static_cast<uint64_t>(before);
 }
 
+RepeatCount LoadLedger::RemoteRepeats(const std::string& service) const {
+  RepeatCount sum;
+  for (const auto& [gateway, remote] : remote_) {
+    for (const ServiceRepeats& row : remote.repeats_) {
+      if (row.service_ == service) {
+        sum.requests_ += row.requests_;
+        sum.repeats_ += row.repeats_;
+      }
+    }
+  }
+  return sum;
+}
+
 int64_t LoadLedger::ShortStreams() const {
   int64_t sum = short_streams_;
   for (const auto& [gateway, remote] : remote_) {
--- a/src/coordination/gateway/load_ledger.h
+++ b/src/coordination/gateway/load_ledger.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "coordination/gateway/retry_window.h"
 #include "protocol/registry_messages.h"
 #include "state/clock_type.h"
 #include "state/ids_type.h"
@@ -34,6 +35,7 @@
   std::vector<PrefillPart> parts_;  ///< Never empty.
   bool is_short_ = true;            ///< Counts among the short streams.
   double wait_ms_ = 0;              ///< Predicted time to the first event.
+  NodeId granted_by_;               ///< Leader that placed it, or none.
 };
 
 /**
@@ -43,6 +45,9 @@
  */
 class LoadLedger {
  public:
+  /** Tells which gateway leads. The leader counts what it placed itself, so
+   * reports tell such work from what gateways placed without it. */
+  void SetLeader(const NodeId& leader);
   /** Counts a request. @pre @p work has a part. */
   WorkId Begin(TimePoint now, const PlacedWork& work);
   /** Counts a long prompt that wants engines, whether it gets them or not.
@@ -62,8 +67,16 @@
   /** Forgets reports that are older than @p age. */
   void ForgetRemote(TimePoint now, Duration age);
 
+  /** @return True if another gateway has reported work lately. */
+  bool HasReport(const NodeId& gateway) const {
+    return remote_.contains(gateway);
+  }
+  /** @return How many other gateways have reported work lately. */
+  size_t Reporters() const { return remote_.size(); }
   /** @return The load of one target. */
   TargetLoad At(const TargetId& target) const;
+  /** @return The part of it that the leader did not place. */
+  TargetLoad NotGranted(const TargetId& target) const;
   /** @return What this gateway reports to the others. */
   GatewayLoad Own(TimePoint now);
   /** A part of the engines for short prompts, from 0 to 1. */
@@ -76,6 +89,8 @@
   HomeSpan HomeOf(const NodeId& self) const;
   /** @return True if @p self is the gateway, out of all, that @p hash picks. */
   bool IsPicked(const NodeId& self, uint64_t hash) const;
+  /** @return What the other gateways count for the budget of a service. */
+  RepeatCount RemoteRepeats(const std::string& service) const;
   /** @return Streams of short prompts in progress at all gateways. */
   int64_t ShortStreams() const;
   /** @return Prefill that long prompts at all gateways want in a second, in
@@ -87,9 +102,12 @@
  private:
   /** Own work at one target. */
   struct OwnLoad {
-    int64_t requests_ = 0;   ///< In progress.
-    int64_t tokens_ = 0;     ///< Held.
-    double prefill_ms_ = 0;  ///< Open.
+    int64_t requests_ = 0;           ///< In progress.
+    int64_t tokens_ = 0;             ///< Held.
+    double prefill_ms_ = 0;          ///< Open.
+    int64_t granted_requests_ = 0;   ///< Of requests_, placed by the leader.
+    int64_t granted_tokens_ = 0;     ///< Of tokens_, for those.
+    double granted_prefill_ms_ = 0;  ///< Of prefill_ms_, for those.
   };
   /** A request in progress. */
   struct OpenWork {
@@ -103,6 +121,7 @@
     int64_t short_streams_ = 0;                         ///< In progress there.
     int64_t long_prefill_ms_ = 0;                       ///< In the last second.
     int64_t long_tokens_ = 0;                           ///< In progress there.
+    std::vector<ServiceRepeats> repeats_;               ///< As reported.
   };
   /** Prefill that a long prompt wanted. */
   struct Span {
@@ -111,14 +130,19 @@
   };
 
   double OwnLongPrefillMs(TimePoint now) const;
+  bool IsGranted(const PlacedWork& work) const;
+  void AddGranted(const PlacedWork& work, int64_t sign);
+  void AddRemote(const Remote& remote, int64_t sign);
 
-  WorkId last_;                                ///< For new ids.
-  std::unordered_map<WorkId, OpenWork> work_;  ///< In progress.
-  std::unordered_map<TargetId, OwnLoad> own_;  ///< By target.
-  std::map<NodeId, Remote> remote_;            ///< By gateway.
-  int64_t short_streams_ = 0;                  ///< Own.
-  int64_t long_tokens_ = 0;                    ///< Own.
-  std::vector<Span> long_prefill_;             ///< Own, last second.
+  WorkId last_;                                             ///< For new ids.
+  std::unordered_map<WorkId, OpenWork> work_;               ///< In progress.
+  std::unordered_map<TargetId, OwnLoad> own_;               ///< By target.
+  std::map<NodeId, Remote> remote_;                         ///< By gateway.
+  std::unordered_map<TargetId, TargetLoadRow> remote_sum_;  ///< By target.
+  NodeId leader_;                                           ///< Now, or none.
+  int64_t short_streams_ = 0;                               ///< Own.
+  int64_t long_tokens_ = 0;                                 ///< Own.
+  std::vector<Span> long_prefill_;  ///< Own, last second.
 };
 
 }  // namespace gv
--- a/src/coordination/gateway/placement.cc
+++ b/src/coordination/gateway/placement.cc
@@ -46,6 +46,13 @@
 constexpr double kAnywhereGainMs = 40;
 /** Engines of long prompts are taken after those of short ones. */
 constexpr double kBorderMs = 30;
+/** The leader spills short prompts over the border only if they start earlier
+ * there by this time: three prompts that wait for their first event at each
+ * engine still meet an objective of 300 ms, and each engine that writes a short
+ * answer is lost for long prompts. */
+constexpr double kSpillMs = 90;
+/** Beside the answer of a long prompt passes are longer by about this time. */
+constexpr double kBesideLongMs = 40;
 /** Each request sees each engine worse by up to this time, so that gateways
  * with the same reports choose different ones. */
 constexpr double kSpreadMs = 40;
@@ -66,11 +73,10 @@
 constexpr size_t kBeginWith = 3;
 /** An engine that owns nothing yet is a reader lost; about a pass. */
 constexpr double kNewOwnerMs = 60;
-/** Engines with so many short streams read no long prompts while at least one
- * in kLeastClean has fewer: after a crest of short prompts they finish within
- * three seconds. */
-constexpr int64_t kFewStreams = 3;
-constexpr size_t kLeastClean = 3;
+/** Engines that write short answers read no long prompts, as a part makes a
+ * pause that is late for these; but one in so many engines reads in any case.
+ */
+constexpr size_t kLeastReaders = 2;
 /** For each short stream that still writes at an engine. */
 constexpr double kLeftOverMs = 10;
 /** What a failed request costs: about its objective. */
@@ -104,6 +110,10 @@
     if (health_.IsSuspected(now, id)) {
       candidate.penalty_ms_ += kSuspectedMs;
     }
+    candidate.on_trial_ = health_.IsOnTrial(now, id);
+    if (candidate.on_trial_ && candidate.load_.requests_ > 0) {
+      candidate.penalty_ms_ += kSuspectedMs;
+    }
     candidate.penalty_ms_ += kFailureMs * health_.FailureRate(id);
     const Duration warm_up = entry.warm_at_ - now;
     if (warm_up > Duration()) {
@@ -151,14 +161,17 @@
 }
 
 size_t Placer::ShortShare(TimePoint now, const EngineProfile& engine,
-                          size_t engines) const {
+                          size_t engines, double short_rate) const {
   if (engines < 2) {
     return engines;
   }
+  const double answer_ms = AnswerMs(engine, engine.slots_,
+                                    engine.slots_ * engine.usual_prompt_tokens_,
+                                    engine.usual_answer_tokens_);
+  const double streams = std::max(static_cast<double>(ledger_.ShortStreams()),
+                                  short_rate * answer_ms / kMsPerSecond);
   const double for_short =
-      static_cast<double>(ledger_.ShortStreams()) /
-          (kShortFill * static_cast<double>(engine.slots_)) +
-      1;
+      streams / (kShortFill * static_cast<double>(engine.slots_)) + 1;
   const double for_long =
       ledger_.LongPrefillMs(now) / kMsPerSecond / kPrefillFill + 1;
   const auto all = static_cast<double>(engines);
@@ -296,27 +309,33 @@
              kLongPrefillMs;
 }
 
-std::vector<Placer::Candidate> Placer::LongZone(
-    TimePoint now, const PlacementRequest& request) const {
+std::vector<Placer::Candidate> Placer::LongZone(TimePoint now,
+                                                const PlacementRequest& request,
+                                                double short_rate) const {
   std::vector<Candidate> zone = Candidates(now, request);
   std::sort(zone.begin(), zone.end(),
             [](const Candidate& a, const Candidate& b) {
               return a.order_ < b.order_;
             });
   // A single engine serves both.
-  const size_t border =
-      zone.size() < 2
-          ? 0
-          : ShortShare(now, *request.service_->engine_, zone.size());
+  const size_t border = zone.size() < 2
+                            ? 0
+                            : ShortShare(now, *request.service_->engine_,
+                                         zone.size(), short_rate);
   zone.erase(zone.begin(), zone.begin() + static_cast<std::ptrdiff_t>(border));
   return zone;
 }
 
-size_t Placer::ReaderCount(TimePoint now,
-                           const PlacementRequest& request) const {
-  const size_t zone = LongZone(now, request).size();
-  const size_t owners = OwnerShare(*request.service_->engine_, zone);
-  return std::max<size_t>(1, zone - std::min(zone, owners));
+size_t Placer::ReaderCount(TimePoint now, const PlacementRequest& request,
+                           const GrantedWork& granted) const {
+  const std::vector<Candidate> zone =
+      LongZone(now, request, granted.short_rate_);
+  const auto readers = std::count_if(
+      zone.begin(), zone.end(), [&granted](const Candidate& candidate) {
+        const TargetId& id = candidate.entry_->target_.id_;
+        return granted.long_.At(id).requests_ == 0;
+      });
+  return std::max<size_t>(1, static_cast<size_t>(readers));
 }
 
 std::optional<size_t> Placer::TakeOwner(const PlacementRequest& request,
@@ -329,7 +348,9 @@
   for (size_t i = 0; i < free.size(); ++i) {
     // A prompt that waits for memory at its engine is passed by smaller ones
     // for seconds, so it waits here.
-    if (fits && !HasRoom(engine, free[i], tokens)) {
+    if (fits &&
+        (!HasRoom(engine, free[i], tokens) ||
+         free[i].load_.requests_ + free[i].short_streams_ >= engine.slots_)) {
       continue;
     }
     const double rank = free[i].penalty_ms_ + WaitMs(engine, free[i], tokens) +
@@ -343,27 +364,125 @@
 }
 
 void Placer::LeaveShortStreams(std::vector<Candidate>& zone) {
-  const auto disturbs = [](const Candidate& candidate) {
-    return candidate.short_streams_ >= kFewStreams;
-  };
-  const auto disturbed =
-      static_cast<size_t>(std::count_if(zone.begin(), zone.end(), disturbs));
-  if ((zone.size() - disturbed) * kLeastClean >= zone.size()) {
-    std::erase_if(zone, disturbs);
+  std::stable_sort(zone.begin(), zone.end(),
+                   [](const Candidate& a, const Candidate& b) {
+                     return a.short_streams_ < b.short_streams_;
+                   });
+  const size_t least = (zone.size() + kLeastReaders - 1) / kLeastReaders;
+  while (zone.size() > least && zone.back().short_streams_ > 0) {
+    zone.pop_back();
+  }
+}
+
+std::optional<Placement> Placer::PlaceShortNow(
+    TimePoint now, const PlacementRequest& request,
+    const GrantedWork& granted) const {
+  const EngineProfile& engine = *request.service_->engine_;
+  const int64_t tokens = request.prompt_tokens_ + request.answer_tokens_;
+  std::vector<Candidate> engines = Candidates(now, request);
+  std::sort(engines.begin(), engines.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return a.order_ < b.order_;
+            });
+  const size_t border =
+      ShortShare(now, engine, engines.size(), granted.short_rate_);
+  const Candidate* best = nullptr;
+  double best_score = 0;
+  for (size_t i = 0; i < engines.size(); ++i) {
+    Candidate& candidate = engines[i];
+    AddGranted(now, granted, candidate);
+    if (!HasRoom(engine, candidate, tokens) ||
+        (candidate.on_trial_ && candidate.load_.requests_ > 0)) {
+      continue;
+    }
+    const double score =
+        candidate.penalty_ms_ + WaitMs(engine, candidate, tokens) +
+        kStreamMs * static_cast<double>(candidate.load_.requests_) +
+        (i >= border ? kSpillMs : 0) +
+        (granted.long_.At(candidate.entry_->target_.id_).requests_ > 0
+             ? kBesideLongMs
+             : 0);
+    if (best == nullptr || score < best_score) {
+      best = &candidate;
+      best_score = score;
+    }
+  }
+  const bool all_suspected =
+      std::all_of(engines.begin(), engines.end(), [](const Candidate& engine) {
+        return engine.penalty_ms_ >= kSuspectedMs;
+      });
+  if (best == nullptr ||
+      (best->penalty_ms_ >= kSuspectedMs && !all_suspected)) {
+    return std::nullopt;
+  }
+  const double prefill_ms = PrefillMs(engine, request.prompt_tokens_);
+  Placement placement;
+  placement.target_ = best->entry_->target_.id_;
+  placement.candidates_ = engines.size();
+  placement.wait_ms_ = WaitMs(engine, *best, tokens) + prefill_ms;
+  placement.work_.wait_ms_ = placement.wait_ms_;
+  placement.work_.parts_.push_back(
+      PrefillPart{placement.target_, prefill_ms, tokens});
+  return placement;
+}
+
+void Placer::AddGranted(TimePoint now, const GrantedWork& granted,
+                        Candidate& candidate) const {
+  const TargetId& id = candidate.entry_->target_.id_;
+  candidate.load_ = ledger_.NotGranted(id);
+  for (const LoadLedger* ledger : {&granted.long_, &granted.short_}) {
+    const TargetLoad load = ledger->At(id);
+    candidate.load_.requests_ += load.requests_;
+    candidate.load_.tokens_ += load.tokens_;
+  }
+  candidate.load_.prefill_ms_ += granted.short_.At(id).prefill_ms_;
+  const auto reading = granted.readings_.find(id);
+  if (reading != granted.readings_.end()) {
+    const int64_t left = (reading->second.until_ - now).Ms();
+    candidate.load_.prefill_ms_ +=
+        static_cast<double>(std::max<int64_t>(0, left));
   }
 }
 
+double Placer::ShortQueueMs(TimePoint now, const PlacementRequest& request,
+                            size_t ahead, double passing_rate) const {
+  const EngineProfile& engine = *request.service_->engine_;
+  const std::vector<Candidate> engines = Candidates(now, request);
+  if (engines.empty()) {
+    return kNoRoomMs;
+  }
+  const int64_t tokens = request.prompt_tokens_ + request.answer_tokens_;
+  const double answer_ms =
+      AnswerMs(engine, engine.slots_, engine.slots_ * tokens,
+               std::max<int64_t>(1, engine.usual_answer_tokens_));
+  const auto slots =
+      static_cast<double>(engine.slots_) * static_cast<double>(engines.size());
+  const double free_rate = slots / answer_ms - passing_rate / kMsPerSecond;
+  if (free_rate <= 0) {
+    return kNoRoomMs;
+  }
+  // Half of the pass in progress, and the pass that makes the first event.
+  return static_cast<double>(ahead + 1) / free_rate +
+         1.5 * PassMs(engine, engine.slots_, engine.slots_ * tokens) +
+         PrefillMs(engine, request.prompt_tokens_);
+}
+
 std::optional<Placement> Placer::PlaceLongNow(
-    TimePoint now, const PlacementRequest& request, const LoadLedger& granted,
-    const EngineReadings& readings) const {
+    TimePoint now, const PlacementRequest& request,
+    const GrantedWork& granted) const {
   const EngineProfile& engine = *request.service_->engine_;
-  std::vector<Candidate> zone = LongZone(now, request);
+  std::vector<Candidate> zone = LongZone(now, request, granted.short_rate_);
+  std::erase_if(zone,
+                [](const Candidate& candidate) { return candidate.on_trial_; });
   for (Candidate& candidate : zone) {
-    const int64_t all = candidate.load_.requests_;
-    candidate.load_ = granted.At(candidate.entry_->target_.id_);
-    candidate.load_.prefill_ms_ = 0;
+    const TargetId& id = candidate.entry_->target_.id_;
+    const TargetLoad others = ledger_.NotGranted(id);
+    const TargetLoad short_load = granted.short_.At(id);
+    candidate.load_ = granted.long_.At(id);
+    candidate.load_.prefill_ms_ = others.prefill_ms_;
+    candidate.load_.tokens_ += short_load.tokens_ + others.tokens_;
     candidate.short_streams_ =
-        std::max<int64_t>(0, all - candidate.load_.requests_);
+        std::max<int64_t>(0, short_load.requests_ + others.requests_);
     candidate.penalty_ms_ +=
         kLeftOverMs * static_cast<double>(candidate.short_streams_);
   }
@@ -373,17 +492,18 @@
   for (Candidate& candidate : zone) {
     const TargetId& id = candidate.entry_->target_.id_;
     readers += candidate.load_.requests_ == 0 ? 1 : 0;
-    const auto reading = readings.find(id);
-    if (reading != readings.end()) {
+    const auto reading = granted.readings_.find(id);
+    if (reading != granted.readings_.end()) {
       const int64_t left = (reading->second.until_ - now).Ms();
-      candidate.load_.prefill_ms_ =
+      candidate.load_.prefill_ms_ +=
           static_cast<double>(std::max<int64_t>(0, left));
-      if (reading->second.open_ > kMostOpenParts ||
-          candidate.load_.prefill_ms_ > kReaderFreeMs) {
+      if (reading->second.open_ > kMostOpenParts) {
         continue;
       }
     }
-    free.push_back(candidate);
+    if (candidate.load_.prefill_ms_ <= kReaderFreeMs) {
+      free.push_back(candidate);
+    }
   }
   const std::optional<size_t> owner_at = TakeOwner(request, free);
   if (!owner_at) {
--- a/src/coordination/gateway/placement.h
+++ b/src/coordination/gateway/placement.h
@@ -22,6 +22,14 @@
 };
 using EngineReadings = std::unordered_map<TargetId, EngineReading>;
 
+/** Work that the leader placed itself, and therefore knows without delay. */
+struct GrantedWork {
+  LoadLedger long_;          ///< Long prompts.
+  LoadLedger short_;         ///< Short prompts.
+  EngineReadings readings_;  ///< Parts of long prompts, by engine.
+  double short_rate_ = 0;    ///< Short prompts that come in a second.
+};
+
 /** What is to be placed. */
 struct PlacementRequest {
   const Service* service_ = nullptr;  ///< Where to.
@@ -65,25 +73,43 @@
 
   /**
    * Places a long prompt by work that @p granted knows, if enough readers are
-   * free by @p readings; an engine reads the newest part first, so that parts
+   * free by @p granted; an engine reads the newest part first, so that parts
    * which pile up at it would wait for ever.
    * @return Where to send it, or nothing for now.
    */
   std::optional<Placement> PlaceLongNow(TimePoint now,
                                         const PlacementRequest& request,
-                                        const LoadLedger& granted,
-                                        const EngineReadings& readings) const;
+                                        const GrantedWork& granted) const;
+
+  /**
+   * Places a short prompt at the leader, at an engine with a free slot.
+   * @return Where to send it, or nothing if no engine has one now.
+   */
+  std::optional<Placement> PlaceShortNow(TimePoint now,
+                                         const PlacementRequest& request,
+                                         const GrantedWork& granted) const;
+
+  /**
+   * @return Predicted time to the first event of a short prompt that begins
+   * after @p ahead others which wait for a slot, in milliseconds.
+   * @param passing_rate Short prompts in a second that come later and go first.
+   */
+  double ShortQueueMs(TimePoint now, const PlacementRequest& request,
+                      size_t ahead, double passing_rate) const;
 
   /** @return Engines that read long prompts, at least 1. */
-  size_t ReaderCount(TimePoint now, const PlacementRequest& request) const;
+  size_t ReaderCount(TimePoint now, const PlacementRequest& request,
+                     const GrantedWork& granted) const;
 
   /** @return Where to send a request, or nothing if no target may take it. */
   std::optional<Placement> Place(TimePoint now,
                                  const PlacementRequest& request) const;
 
-  /** @return How many of @p engines are left to short prompts. */
-  size_t ShortShare(TimePoint now, const EngineProfile& engine,
-                    size_t engines) const;
+  /** @return How many of @p engines are left to short prompts.
+   * @param short_rate Short prompts in a second, or 0 to go by the streams in
+   * progress alone, which follow a burst two seconds late. */
+  size_t ShortShare(TimePoint now, const EngineProfile& engine, size_t engines,
+                    double short_rate = 0) const;
 
  private:
   /** A target that may take work. */
@@ -93,6 +119,7 @@
     uint64_t order_ = 0;         ///< Place in an order that all gateways share.
     double penalty_ms_ = 0;      ///< For distance, warm-up and failures.
     int64_t short_streams_ = 0;  ///< That reading of long prompts disturbs.
+    bool on_trial_ = false;      ///< Failed lately; gets one request at a time.
   };
 
   std::vector<Candidate> Candidates(TimePoint now,
@@ -107,8 +134,11 @@
                                size_t border) const;
   Placement PlaceLong(const PlacementRequest& request,
                       std::vector<Candidate> zone) const;
+  void AddGranted(TimePoint now, const GrantedWork& granted,
+                  Candidate& candidate) const;
   std::vector<Candidate> LongZone(TimePoint now,
-                                  const PlacementRequest& request) const;
+                                  const PlacementRequest& request,
+                                  double short_rate) const;
   static void LeaveShortStreams(std::vector<Candidate>& zone);
   static Placement JoinReaders(const PlacementRequest& request,
                                const Candidate& owner,
--- a/src/coordination/gateway/target_health.cc
+++ b/src/coordination/gateway/target_health.cc
@@ -14,6 +14,8 @@
  * drops out of the directory is reached after a few doublings. */
 constexpr Duration kFirstPause = 400_ms;
 constexpr Duration kLongestPause = 3_s;
+/** Two gateways that miss a target within this time confirm each other. */
+constexpr Duration kConfirmed = 2_s;
 
 }  // namespace
 
@@ -28,7 +30,7 @@
 
 bool TargetHealth::OnOutcome(TimePoint now, const TargetId& target,
                              HealthOutcome outcome) {
-  if (outcome == HealthOutcome::kFull) {
+  if (outcome == HealthOutcome::kFull || outcome == HealthOutcome::kUnknown) {
     return false;
   }
   State& state = states_[target];
@@ -48,11 +50,42 @@
   return before != state.suspected_;
 }
 
+bool TargetHealth::OnReport(TimePoint now, const NodeId& reporter,
+                            const TargetId& target, HealthOutcome outcome) {
+  if (outcome != HealthOutcome::kUnreachable) {
+    return OnOutcome(now, target, outcome);
+  }
+  State& state = states_[target];
+  const bool confirmed =
+      state.unreachable_ > 0 ||
+      (!state.reporter_.IsNone() && state.reporter_ != reporter &&
+       now - state.reported_ < kConfirmed);
+  state.reporter_ = reporter;
+  state.reported_ = now;
+  return confirmed && OnOutcome(now, target, outcome);
+}
+
+std::vector<TargetId> TargetHealth::Suspected(TimePoint now) const {
+  std::vector<TargetId> targets;
+  for (const auto& [target, state] : states_) {
+    if (now < state.until_) {
+      targets.push_back(target);
+    }
+  }
+  return targets;
+}
+
 bool TargetHealth::IsSuspected(TimePoint now, const TargetId& target) const {
   const auto found = states_.find(target);
   return found != states_.end() && now < found->second.until_;
 }
 
+bool TargetHealth::IsOnTrial(TimePoint now, const TargetId& target) const {
+  const auto found = states_.find(target);
+  return found != states_.end() && found->second.suspected_ &&
+         now >= found->second.until_;
+}
+
 double TargetHealth::FailureRate(const TargetId& target) const {
   const auto found = states_.find(target);
   return found == states_.end() ? 0 : found->second.failure_rate_;
--- a/src/coordination/gateway/target_health.h
+++ b/src/coordination/gateway/target_health.h
@@ -3,20 +3,14 @@
 #pragma once
 
 #include <unordered_map>
+#include <vector>
 
+#include "protocol/registry_messages.h"
 #include "state/clock_type.h"
 #include "state/ids_type.h"
 
 namespace gv {
 
-/** How an attempt at a target ended, as far as its health is concerned. */
-enum class HealthOutcome : uint8_t {
-  kGood,         ///< A whole answer.
-  kFull,         ///< It refused since it was full; says nothing of its health.
-  kError,        ///< An answer that says that the target failed.
-  kUnreachable,  ///< No connection, a broken one, or silence.
-};
-
 /**
  * Keeps a failure rate for each target. A target that cannot be reached is
  * suspected at once, one that answers with errors once the rate is well above
@@ -28,8 +22,21 @@
   /** Takes in an outcome. @return True if the target became suspected or
    * trusted by it. */
   bool OnOutcome(TimePoint now, const TargetId& target, HealthOutcome outcome);
+  /**
+   * Takes in an outcome that another gateway saw. A target is only suspected
+   * for it if a second gateway could not reach it either, as the path of one
+   * gateway may be broken. @return True if the target became suspected or
+   * trusted by it.
+   */
+  bool OnReport(TimePoint now, const NodeId& reporter, const TargetId& target,
+                HealthOutcome outcome);
+  /** @return Targets that requests should not go to now. */
+  std::vector<TargetId> Suspected(TimePoint now) const;
   /** @return True if requests should go elsewhere. */
   bool IsSuspected(TimePoint now, const TargetId& target) const;
+  /** @return True if a suspected target may be tried again, with one request
+   * at a time until one of them succeeds. */
+  bool IsOnTrial(TimePoint now, const TargetId& target) const;
   /** @return Part of the requests that fail lately, from 0 to 1. */
   double FailureRate(const TargetId& target) const;
   /** Forgets a target. */
@@ -43,6 +50,8 @@
     bool suspected_ = false;   ///< Since the last good outcome.
     TimePoint until_;          ///< No requests before this time.
     Duration pause_;           ///< Length of the last pause.
+    NodeId reporter_;          ///< Newest other gateway that missed it.
+    TimePoint reported_;       ///< When that gateway said so.
   };
 
   void Suspect(TimePoint now, State& state) const;
--- a/src/protocol/message.cc
+++ b/src/protocol/message.cc
@@ -88,9 +88,10 @@
 template Message::Message(ReadForward);
 template Message::Message(ReadOutcome);
 template Message::Message(GatewayLoad);
-template Message::Message(LongPromptAsk);
-template Message::Message(LongPromptPlaced);
-template Message::Message(LongPromptRefused);
-template Message::Message(LongPromptStep);
+template Message::Message(PromptAsk);
+template Message::Message(PromptPlaced);
+template Message::Message(PromptRefused);
+template Message::Message(PromptStep);
+template Message::Message(PromptQueued);
 
 }  // namespace gv
--- a/src/protocol/registry_messages.h
+++ b/src/protocol/registry_messages.h
@@ -72,10 +72,20 @@
 
 /** Work of one gateway at one target. */
 struct TargetLoadRow {
-  TargetId target_;         ///< The target.
-  int64_t requests_ = 0;    ///< In progress.
-  int64_t prefill_ms_ = 0;  ///< Prefill not yet done, as predicted.
-  int64_t tokens_ = 0;      ///< KV memory of the requests in progress.
+  TargetId target_;                 ///< The target.
+  int64_t requests_ = 0;            ///< In progress.
+  int64_t prefill_ms_ = 0;          ///< Prefill not yet done, as predicted.
+  int64_t tokens_ = 0;              ///< KV memory of the requests in progress.
+  int64_t granted_requests_ = 0;    ///< Of them, those that the leader placed.
+  int64_t granted_tokens_ = 0;      ///< KV memory of those.
+  int64_t granted_prefill_ms_ = 0;  ///< Prefill of those, not yet done.
+};
+
+/** Requests of one gateway to one service, as its retry budget counts them. */
+struct ServiceRepeats {
+  std::string service_;   ///< Name of the service.
+  int64_t requests_ = 0;  ///< Of callers, in the window of the budget.
+  int64_t repeats_ = 0;   ///< Sent once more, in the window of the budget.
 };
 
 /** A gateway to all others: its work in progress. */
@@ -84,17 +94,19 @@
   int64_t short_streams_ = 0;        ///< Streams of short prompts in progress.
   int64_t long_prefill_ms_ = 0;      ///< Prefill of long prompts, last second.
   int64_t long_tokens_ = 0;          ///< KV memory of long prompts in progress.
+  std::vector<ServiceRepeats> repeats_;  ///< Of services with requests.
 };
 
-/** A gateway to the leader: a long prompt wants engines. */
-struct LongPromptAsk {
+/** A gateway to the leader: a prompt wants engines. */
+struct PromptAsk {
   OperationId operation_;      ///< Chosen by the gateway.
   std::string service_;        ///< Where to.
   int64_t prompt_tokens_ = 0;  ///< To be read.
   int64_t answer_tokens_ = 0;  ///< To be written, at most.
   Duration objective_;  ///< Prompts go on in the order of this time from now.
   Duration latest_;     ///< It is refused rather than begun after this time.
-  std::vector<TargetId> tried_;  ///< Targets that failed it.
+  std::vector<TargetId> tried_;  ///< Targets that failed it, or that the
+                                 ///< gateway suspects.
 };
 
 /** Memory to be reserved at one engine. */
@@ -104,7 +116,7 @@
 };
 
 /** The leader to a gateway: the prompt may be sent now. */
-struct LongPromptPlaced {
+struct PromptPlaced {
   OperationId operation_;                      ///< Copied.
   TargetId target_;                            ///< Gets the request.
   std::vector<TargetId> helpers_;              ///< Read parts of the prompt.
@@ -114,16 +126,32 @@
   int64_t queued_ms_ = 0;  ///< Time spent at the leader.
 };
 
-/** The leader to a gateway: the prompt can't be read in time. */
-struct LongPromptRefused {
+/** The leader to a gateway: the prompt can't begin in time. */
+struct PromptRefused {
   OperationId operation_;  ///< Copied.
   Duration wait_;          ///< Predicted.
 };
 
+/** The leader to a gateway: a short prompt waits for a free slot. */
+struct PromptQueued {
+  OperationId operation_;  ///< Copied.
+};
+
+/** How an attempt at a target ended, as far as its health is concerned. */
+enum class HealthOutcome : uint8_t {
+  kUnknown,      ///< Nothing was seen; the caller left, or it was not sent.
+  kGood,         ///< A whole answer.
+  kFull,         ///< It refused since it was full; says nothing of its health.
+  kError,        ///< An answer that says that the target failed.
+  kUnreachable,  ///< No connection, a broken one, or silence.
+};
+
 /** A gateway to the leader: how a placed prompt goes on. */
-struct LongPromptStep {
+struct PromptStep {
   OperationId operation_;  ///< Of the ask.
   bool ended_ = false;     ///< True at its end, false at its first event.
+  TargetId target_;        ///< Where it ended; or none.
+  HealthOutcome outcome_ = HealthOutcome::kUnknown;  ///< At its end.
 };
 
 }  // namespace gv
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -101,8 +101,9 @@
   Duration Patience() const;
   void CheckProgress(TimePoint now);
 
-  // forward_long.cc: long prompts wait for their turn at the leader.
+  // forward_prompt.cc: prompts wait for their turn at the leader.
   bool AskLeader(const PlacementRequest& wanted);
+  Duration LatestStart(bool is_long) const;
   void OnLeaderAnswer(const Message& answer);
   void CheckLeader(TimePoint now);
   void LeaveLeader();
@@ -141,10 +142,14 @@
   Duration longest_pause_;                  ///< Between two events.
   TimePoint first_event_;                   ///< When the caller got it.
 
-  TimePoint lease_by_;              ///< Waits for a lease until then.
-  bool asked_leader_ = false;       ///< Only once for each request.
-  std::optional<OperationId> ask_;  ///< Open at the leader.
-  TimePoint leader_answer_by_;      ///< When to go on without it.
+  TimePoint lease_by_;         ///< Waits for a lease until then.
+  bool asked_leader_ = false;  ///< Only once for each attempt.
+  HealthOutcome outcome_ = HealthOutcome::kUnknown;  ///< Of the last attempt.
+  TargetId last_target_;                             ///< Of the last attempt.
+  std::optional<OperationId> ask_;                   ///< Open at the leader.
+  TimePoint leader_by_;         ///< Waits for a leader until then.
+  TimePoint leader_asked_;      ///< When.
+  TimePoint leader_answer_by_;  ///< When to go on without it.
 
   std::optional<Placement> reserving_;  ///< Waits for its tickets.
   std::vector<Ticket> tickets_;         ///< Of this request.
--- a/src/transport/gateway/forward_answer.cc
+++ b/src/transport/gateway/forward_answer.cc
@@ -39,7 +39,7 @@
     gateway_.Ledger().FirstEvent(*work_);
   }
   if (ask_) {
-    gateway_.StepLong(*ask_, false);
+    gateway_.StepPrompt(*ask_, false, last_target_, HealthOutcome::kUnknown);
   }
   first_event_ = gateway_.Now();
   caller_->BeginParts(attempt_->status_, AnswerFields(), gateway_.IsStopping());
@@ -144,8 +144,11 @@
   const bool may_repeat =
       IsRepeatable(route_.kind_, route_.resumable_) &&
       MayTryAgain(History(), AttemptEnd{RunState::kMayHaveRun, false});
+  // Without budget for another attempt the target in use is the best hope.
   if (may_repeat && caller_->Unsent() < kMostUnsent &&
-      now - attempt_->progress_ > Patience()) {
+      now - attempt_->progress_ > Patience() &&
+      gateway_.Retries(service_.name_)
+          .HasRepeat(now, gateway_.Registry().NodeCount())) {
     AbandonAttempt("silent");
   }
 }
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -132,6 +132,8 @@
   attempt.progress_ = now;
   attempt.predicted_ms_ = placement.wait_ms_;
   attempt_ = std::move(attempt);
+  last_target_ = placement.target_;
+  outcome_ = HealthOutcome::kUnknown;
   work_ = gateway_.Ledger().Begin(now, placement.work_);
   helpers_ = placement.helpers_.size();
   ++sent_;
@@ -300,6 +302,7 @@
     return;
   }
   gateway_.OnOutcome(attempt_->target_, HealthOutcome::kGood);
+  outcome_ = HealthOutcome::kGood;
   FinishAnswer();
 }
 
@@ -319,6 +322,7 @@
 void Forward::OnAttemptFailed(const AttemptEnd& end, HealthOutcome health,
                               const std::string& reason) {
   gateway_.OnOutcome(attempt_->target_, health);
+  outcome_ = health;
   tried_.push_back(attempt_->target_);
   if (end.has_answer_) {
     own_failure_ = TakeWholeAnswer();
--- a/src/transport/gateway/gateway.cc
+++ b/src/transport/gateway/gateway.cc
@@ -192,6 +192,7 @@
 
 void Gateway::OnTick() {
   const TimePoint now = Now();
+  ledger_.SetLeader(registry_.Leader());
   Step(
       Envelope{{self_, Port::kTransport}, {self_, Port::kControl}, {}, Tick{}});
   TickRequests(now);
@@ -211,6 +212,7 @@
     peers_->DropSilent(kPeerSilence);
     pool_.OnTick(now);
     ledger_.ForgetRemote(now, 2_s);
+    scheduler_.ForgetLost(now, ledger_, self_);
     std::vector<std::shared_ptr<GatewayCaller>> callers;
     for (const auto& [id, caller] : callers_) {
       callers.push_back(caller);
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -17,8 +17,8 @@
 #include <unordered_map>
 
 #include "coordination/gateway/load_ledger.h"
-#include "coordination/gateway/long_prompt_scheduler.h"
 #include "coordination/gateway/placement.h"
+#include "coordination/gateway/prompt_scheduler.h"
 #include "coordination/gateway/registry_core.h"
 #include "coordination/gateway/retry_window.h"
 #include "coordination/gateway/routing_table.h"
@@ -80,15 +80,25 @@
   void ObserveFirstEvent(RouteKind kind, Duration time);
   /** @return True if the leader answers, as far as is known. */
   bool CanAskLeader() const;
+  /** @return When the leader answered a question last. */
+  TimePoint LeaderAnswered() const { return leader_answered_; }
+  /** The leader has left a question without an answer for too long.
+   * @param asked When it was asked. */
+  void OnLeaderSilent(TimePoint asked);
+  /** @return Targets that requests should not go to, as this gateway saw. */
+  std::vector<TargetId> Suspected() const { return health_.Suspected(Now()); }
   /**
-   * Asks the leader for engines for a long prompt.
-   * @param done Gets LongPromptPlaced or LongPromptRefused, if the leader
-   * answers. @return For StepLong.
+   * Asks the leader for engines for a prompt.
+   * @param done Gets PromptPlaced or PromptRefused, if the leader
+   * answers. @return For StepPrompt.
    */
-  OperationId AskLong(LongPromptAsk ask,
-                      std::function<void(const Message&)> done);
-  /** Tells the leader how a long prompt goes on. */
-  void StepLong(OperationId operation, bool ended);
+  OperationId AskForEngines(PromptAsk ask,
+                            std::function<void(const Message&)> done);
+  /** @return The leader that was asked, or none if it is forgotten. */
+  NodeId AskedLeader(OperationId operation) const;
+  /** Tells the leader how a prompt goes on. @param target Where it ended. */
+  void StepPrompt(OperationId operation, bool ended, const TargetId& target,
+                  HealthOutcome outcome);
   /** Posts an order to a target. @param done Gets its status, or 0. */
   void SendOrder(const std::string& address, const TargetOrder& order,
                  std::function<void(unsigned)> done);
@@ -104,7 +114,7 @@
     unsigned status_ = 0;                           ///< Of the answer.
     std::optional<Duration> keep_alive_;            ///< Of the connection.
   };
-  /** A long prompt that the leader knows of. */
+  /** A prompt that the leader knows of. */
   struct OpenAsk {
     NodeId leader_;                             ///< Who was asked.
     std::function<void(const Message&)> done_;  ///< Until it has answered.
@@ -153,10 +163,10 @@
   void OnGetConfiguration(HttpService::Respond done);
   std::string MetricsText();
 
-  // gateway_long.cc: long prompts.
+  // gateway_prompts.cc: prompts that the leader places.
   void SendToPeer(const NodeId& node, Message body);
   void SendToLeader(const NodeId& leader, Message body);
-  bool OnLongMessage(const NodeId& from, const Message& body);
+  bool OnPromptMessage(const NodeId& from, const Message& body);
   void AnswerAsk(OperationId operation, const Message& body);
   void SendSchedulerReplies();
 
@@ -174,7 +184,7 @@
   LoadLedger ledger_;                  ///< Work at targets.
   TargetHealth health_;                ///< Failures of targets.
   Placer placer_;                      ///< Chooses targets.
-  LongPromptScheduler scheduler_;      ///< Used while this gateway leads.
+  PromptScheduler scheduler_;          ///< Used while this gateway leads.
   TargetPool pool_;                    ///< Connections to targets.
   std::optional<RoutingTable> table_;  ///< Of the served configuration.
   uint64_t table_version_ = 0;         ///< Of table_.
@@ -207,6 +217,8 @@
   bool stopping_ = false;         ///< A planned stop has begun.
   TimePoint stop_begun_;          ///< When.
   bool had_lease_ = false;        ///< For log lines.
+  TimePoint ask_leader_from_;     ///< Not before this time.
+  TimePoint leader_answered_;     ///< When a question was answered last.
   TimePoint next_load_;           ///< When to report the load.
   TimePoint next_silence_;        ///< When to look for silent peers.
   bool load_sent_empty_ = false;  ///< The last report had no work.
--- a/src/transport/gateway/gateway_long.cc
+++ b/src/transport/gateway/gateway_prompts.cc
@@ -1,4 +1,4 @@
-/** @file gateway_long.cc Long prompts: asks the leader, or schedules for all
+/** @file gateway_prompts.cc Prompts: asks the leader, or schedules for all
  * gateways while this one leads. */
 #include <boost/asio/post.hpp>
 
@@ -9,16 +9,30 @@
 
 /** A leader that was heard of within this time can be asked. */
 constexpr Duration kLeaderFresh = 1200_ms;
+/** A leader that left a question without an answer is asked again after this
+ * time; an election takes 0.9 to 1.2 s. */
+constexpr Duration kLeaderPause = 500_ms;
 
 }  // namespace
 
 bool Gateway::CanAskLeader() const {
-  return !registry_.Leader().IsNone() &&
+  return !registry_.Leader().IsNone() && Now() >= ask_leader_from_ &&
          Now() - registry_.LeaderHeard() < kLeaderFresh;
 }
 
-OperationId Gateway::AskLong(LongPromptAsk ask,
-                             std::function<void(const Message&)> done) {
+void Gateway::OnLeaderSilent(TimePoint asked) {
+  if (leader_answered_ >= asked) {
+    return;
+  }
+  if (Now() >= ask_leader_from_) {
+    Record(EventId::kDependencyLost,
+           "leader does not answer=" + registry_.Leader().Value());
+  }
+  ask_leader_from_ = Now() + kLeaderPause;
+}
+
+OperationId Gateway::AskForEngines(PromptAsk ask,
+                                   std::function<void(const Message&)> done) {
   last_ask_ = last_ask_.Next();
   ask.operation_ = last_ask_;
   asks_[last_ask_] = OpenAsk{registry_.Leader(), std::move(done)};
@@ -26,7 +40,13 @@
   return last_ask_;
 }
 
-void Gateway::StepLong(OperationId operation, bool ended) {
+NodeId Gateway::AskedLeader(OperationId operation) const {
+  const auto found = asks_.find(operation);
+  return found == asks_.end() ? NodeId() : found->second.leader_;
+}
+
+void Gateway::StepPrompt(OperationId operation, bool ended,
+                         const TargetId& target, HealthOutcome outcome) {
   const auto found = asks_.find(operation);
   if (found == asks_.end()) {
     return;
@@ -35,7 +55,7 @@
   if (ended) {
     asks_.erase(found);
   }
-  SendToLeader(leader, LongPromptStep{operation, ended});
+  SendToLeader(leader, PromptStep{operation, ended, target, outcome});
 }
 
 void Gateway::SendToPeer(const NodeId& node, Message body) {
@@ -47,22 +67,27 @@
 
 void Gateway::SendToLeader(const NodeId& leader, Message body) {
   if (leader == self_) {
-    OnLongMessage(self_, body);
+    OnPromptMessage(self_, body);
     return;
   }
   SendToPeer(leader, std::move(body));
 }
 
-bool Gateway::OnLongMessage(const NodeId& from, const Message& body) {
-  if (const auto* ask = std::get_if<LongPromptAsk>(&body)) {
+bool Gateway::OnPromptMessage(const NodeId& from, const Message& body) {
+  if (const auto* ask = std::get_if<PromptAsk>(&body)) {
     const Service* service =
         table_ ? table_->FindService(ask->service_) : nullptr;
     scheduler_.OnAsk(Now(), from, *ask, service);
-  } else if (const auto* step = std::get_if<LongPromptStep>(&body)) {
+  } else if (const auto* step = std::get_if<PromptStep>(&body)) {
+    if (from != self_ && !step->target_.IsNone()) {
+      health_.OnReport(Now(), from, step->target_, step->outcome_);
+    }
     scheduler_.OnStep(Now(), from, *step);
-  } else if (const auto* placed = std::get_if<LongPromptPlaced>(&body)) {
+  } else if (const auto* placed = std::get_if<PromptPlaced>(&body)) {
     AnswerAsk(placed->operation_, body);
-  } else if (const auto* refused = std::get_if<LongPromptRefused>(&body)) {
+  } else if (std::holds_alternative<PromptQueued>(body)) {
+    leader_answered_ = Now();
+  } else if (const auto* refused = std::get_if<PromptRefused>(&body)) {
     AnswerAsk(refused->operation_, body);
   } else {
     return false;
@@ -72,6 +97,7 @@
 }
 
 void Gateway::AnswerAsk(OperationId operation, const Message& body) {
+  leader_answered_ = Now();
   const auto found = asks_.find(operation);
   if (found == asks_.end()) {
     return;
@@ -80,7 +106,7 @@
     return;
   }
   const auto done = std::exchange(found->second.done_, nullptr);
-  if (std::holds_alternative<LongPromptRefused>(body)) {
+  if (std::holds_alternative<PromptRefused>(body)) {
     asks_.erase(found);
   }
   done(body);
@@ -90,7 +116,7 @@
   for (SchedulerReply& reply : scheduler_.TakeReplies()) {
     if (reply.gateway_ == self_) {
       boost::asio::post(io_, [this, body = std::move(reply.body_)]() {
-        OnLongMessage(self_, body);
+        OnPromptMessage(self_, body);
       });
       continue;
     }
--- a/src/transport/gateway/gateway_registry.cc
+++ b/src/transport/gateway/gateway_registry.cc
@@ -89,7 +89,7 @@
     ledger_.SetRemote(Now(), envelope.from_.node_, *load);
     return;
   }
-  if (OnLongMessage(envelope.from_.node_, envelope.body_)) {
+  if (OnPromptMessage(envelope.from_.node_, envelope.body_)) {
     return;
   }
   Step(envelope);
@@ -161,7 +161,16 @@
   const std::vector<NodeId> others = registry_.OtherNodes();
   ledger_.SettleOverdue(now);
   GatewayLoad load = ledger_.Own(now);
-  const bool empty = load.rows_.empty();
+  for (auto& [service, window] : retries_) {
+    window.SetOthers(now, ledger_.RemoteRepeats(service),
+                     ledger_.Reporters());
+    const RepeatCount own = window.Own(now);
+    if (own.requests_ > 0 || own.repeats_ > 0) {
+      load.repeats_.push_back(
+          ServiceRepeats{service, own.requests_, own.repeats_});
+    }
+  }
+  const bool empty = load.rows_.empty() && load.repeats_.empty();
   if (empty && load_sent_empty_) {
     return;
   }
--- a/src/transport/peer_session.cc
+++ b/src/transport/peer_session.cc
@@ -15,6 +15,7 @@
 
 #include "protocol/codec.h"
 #include "state/process_settings.h"
+#include "transport/frame_compression.h"
 #include "transport/secret.h"
 #include "transport/steady_clock.h"
 
@@ -25,6 +26,8 @@
 using nlohmann::json;
 
 constexpr size_t kMaxFrameBytes = 64UL << 20;
+/** In the first byte of a frame's length: the payload is compressed. */
+constexpr unsigned char kPackedBit = 0x80;
 constexpr size_t kMaxHelloBytes = 4096;
 constexpr size_t kMaxQueuedBytes = 256UL << 20;
 constexpr size_t kEnvelopeOverheadBytes = 256;
@@ -179,7 +182,8 @@
 asio::awaitable<std::string> PeerSession::ReadFrame(size_t max_bytes) {
   std::array<unsigned char, 4> head{};
   co_await asio::async_read(socket_, asio::buffer(head), asio::use_awaitable);
-  const size_t length = (static_cast<size_t>(head[0]) << 24) |
+  const bool is_packed = (head[0] & kPackedBit) != 0;
+  const size_t length = (static_cast<size_t>(head[0] & ~kPackedBit) << 24) |
                         (static_cast<size_t>(head[1]) << 16) |
                         (static_cast<size_t>(head[2]) << 8) | head[3];
   if (length > max_bytes) {
@@ -189,13 +193,25 @@
   co_await asio::async_read(socket_, asio::buffer(payload),
                             asio::use_awaitable);
   heard_at_ = SteadyNow();
+  if (is_packed) {
+    std::optional<std::string> expanded = ExpandFrame(payload, max_bytes);
+    if (!expanded) {
+      throw std::runtime_error("damaged frame");
+    }
+    co_return std::move(*expanded);
+  }
   co_return payload;
 }
 
 asio::awaitable<void> PeerSession::WriteFrame(std::string payload) {
+  std::optional<std::string> packed = CompressFrame(payload);
+  const unsigned char flag = packed ? kPackedBit : 0;
+  if (packed) {
+    payload = std::move(*packed);
+  }
   const size_t length = payload.size();
   const std::array<unsigned char, 4> head{
-      static_cast<unsigned char>(length >> 24),
+      static_cast<unsigned char>(length >> 24 | flag),
       static_cast<unsigned char>(length >> 16),
       static_cast<unsigned char>(length >> 8),
       static_cast<unsigned char>(length)};
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -73,7 +73,7 @@
 TEST_CASE("codec: numbers that a field can't hold give a verdict") {
   const auto decodes = [](const std::string& prompt_tokens) {
     return EnvelopeFromJson(
-               R"([["a",1],["b",1],[0,0],"LongPromptAsk",[1,"s",)" +
+               R"([["a",1],["b",1],[0,0],"PromptAsk",[1,"s",)" +
                prompt_tokens + "]]")
         .has_value();
   };
@@ -85,7 +85,7 @@
   }
   const auto with_counter = [](const std::string& counter) {
     return EnvelopeFromJson(R"([["a",1],["b",1],[0,)" + counter +
-                            R"(],"LongPromptAsk",[]])")
+                            R"(],"PromptAsk",[]])")
         .has_value();
   };
   CHECK(with_counter("4294967295"));
--- a/tests/gateway_attempt_test.cc
+++ b/tests/gateway_attempt_test.cc
@@ -103,6 +103,54 @@
   CHECK(static_cast<double>(repeats) >= most / 2);
 }
 
+TEST_CASE("retry window: one gateway uses what the others leave") {
+  // Grown Tilecarvers scale-1, second 14: streams of dead engines were held to
+  // their deadline, as the share of one gateway in 31 was spent.
+  constexpr size_t kGateways = 31;
+  const RetryBounds bounds{0.2, 10_s, 138};
+  RetryWindow window(bounds);
+  int64_t repeats = 0;
+  window.SetOthers(TimePoint(0), RepeatCount{900, 0}, kGateways - 1);
+  for (int i = 0; i < 60; ++i) {
+    window.OnRequest(TimePoint(0));
+    repeats += window.TakeRepeat(TimePoint(0), kGateways) ? 1 : 0;
+  }
+  CHECK(repeats == 60);
+  // Without reports of all others it keeps to its own share.
+  CHECK_FALSE(window.HasRepeat(TimePoint(2000), kGateways));
+  window.SetOthers(TimePoint(2000), RepeatCount{900, 0}, kGateways - 2);
+  CHECK_FALSE(window.HasRepeat(TimePoint(2000), kGateways));
+}
+
+TEST_CASE("retry window: reports that lag keep the sum below the bound") {
+  constexpr size_t kGateways = 31;
+  const RetryBounds bounds{0.2, 10_s, 138};
+  std::vector<RetryWindow> windows(kGateways, RetryWindow(bounds));
+  int64_t requests = 0;
+  int64_t repeats = 0;
+  // Every request fails at once at every gateway; reports are 200 ms old.
+  for (TimePoint now(0); now < TimePoint(10000); now = now + 200_ms) {
+    std::vector<RepeatCount> reports;
+    for (RetryWindow& window : windows) {
+      reports.push_back(window.Own(now));
+    }
+    for (size_t i = 0; i < kGateways; ++i) {
+      RepeatCount others;
+      for (size_t j = 0; j < kGateways; ++j) {
+        others.requests_ += j == i ? 0 : reports[j].requests_;
+        others.repeats_ += j == i ? 0 : reports[j].repeats_;
+      }
+      windows[i].SetOthers(now, others, kGateways - 1);
+      windows[i].OnRequest(now);
+      ++requests;
+      repeats += windows[i].TakeRepeat(now, kGateways) ? 1 : 0;
+    }
+  }
+  const double most = 0.2 * static_cast<double>(requests) + 138;
+  CHECK(static_cast<double>(repeats) <= most);
+  CHECK(static_cast<double>(repeats) >= most / 2);
+}
+
 TEST_CASE("event splitter: whole events pass, each once and in order") {
   EventSplitter events(std::nullopt);
   CHECK(events.Add("id: 1\ndata: a\n").empty());
--- a/tests/gateway_directory_test.cc
+++ b/tests/gateway_directory_test.cc
@@ -97,5 +97,32 @@
   CHECK(health.IsSuspected(TimePoint(2010), target));
 }
 
+TEST_CASE("target health: one gateway's report suspects no target for all") {
+  TargetHealth health;
+  const TargetId target("a");
+  const auto report = [&](Duration at, const char* gateway) {
+    return health.OnReport(TimePoint(0) + at, NodeId(gateway), target,
+                           HealthOutcome::kUnreachable);
+  };
+  CHECK_FALSE(report(0_ms, "g1"));
+  CHECK_FALSE(report(100_ms, "g1"));
+  CHECK_FALSE(health.IsSuspected(TimePoint(100), target));
+  CHECK(report(200_ms, "g2"));
+  CHECK(health.IsSuspected(TimePoint(200), target));
+  CHECK(health.Suspected(TimePoint(200)) == std::vector<TargetId>{target});
+}
+
+TEST_CASE("target health: after its pause a target is on trial") {
+  // Grown Tilecarvers scale-1, second 10: six engines reset every request, and
+  // each time their pause ended they looked idle and got a rush of them.
+  TargetHealth health;
+  const TargetId target("a");
+  health.OnOutcome(TimePoint(0), target, HealthOutcome::kUnreachable);
+  CHECK_FALSE(health.IsOnTrial(TimePoint(100), target));
+  CHECK(health.IsOnTrial(TimePoint(5000), target));
+  health.OnOutcome(TimePoint(5000), target, HealthOutcome::kGood);
+  CHECK_FALSE(health.IsOnTrial(TimePoint(5000), target));
+}
+
 }  // namespace
 }  // namespace gv
--- a/tests/gateway_placement_test.cc
+++ b/tests/gateway_placement_test.cc
@@ -8,53 +8,18 @@
 #include <memory>
 
 #include "coordination/gateway/engine_model.h"
-#include "coordination/gateway/long_prompt_scheduler.h"
 #include "coordination/gateway/placement.h"
+#include "coordination/gateway/prompt_scheduler.h"
+#include "support/gateway_engines.h"
 
 namespace gv {
 namespace {
 
-/** The engines of the users' sheets. */
-EngineProfile Engine() {
-  EngineProfile engine;
-  engine.slots_ = 16;
-  engine.memory_tokens_ = 315000;
-  engine.step_ms_ = 0.85;
-  engine.stream_step_ms_ = 0.00425;
-  engine.context_step_ms_ = 0.00285;
-  engine.prefill_tokens_per_ms_ = 177;
-  engine.pair_ms_per_million_ = 0.184;
-  engine.steps_per_event_ = 51;
-  engine.usual_prompt_tokens_ = 11112;
-  engine.usual_answer_tokens_ = 1622;
-  return engine;
-}
+EngineProfile Engine() { return SheetEngine(); }
 
 Service Model() { return Service{"model", 434, Engine()}; }
 
-void AddEngines(TargetDirectory& directory, int count) {
-  for (int i = 0; i < count; ++i) {
-    TargetRegistration target;
-    target.id_ = TargetId("engine-" + std::to_string(i));
-    target.service_ = "model";
-    target.address_ = "10.0.0." + std::to_string(i) + ":80";
-    target.data_centre_ = DataCentreId("dc");
-    target.slots_ = 16;
-    target.start_ms_ = 1;
-    directory.Merge(TimePoint(0), target);
-  }
-}
-
-/** A gateway's knowledge and choice. */
-struct Chooser {
-  Chooser(const std::string& name, const TargetDirectory& directory)
-      : node_(name),
-        placer_(node_, DataCentreId("dc"), directory, ledger_, health_) {}
-  NodeId node_;          ///< Its name.
-  LoadLedger ledger_;    ///< Own and reported work.
-  TargetHealth health_;  ///< Of all targets.
-  Placer placer_;        ///< Under test.
-};
+using Chooser = PlacementRig;
 
 TEST_CASE("engine model: figures of the sheets") {
   const EngineProfile engine = Engine();
@@ -346,7 +311,7 @@
   static constexpr double kEngineSpeed = 0.9;
 
   void Ask(TimePoint now) {
-    LongPromptAsk ask;
+    PromptAsk ask;
     ask.operation_ = OperationId(++last_);
     ask.service_ = "model";
     ask.prompt_tokens_ = 154000;
@@ -360,10 +325,10 @@
 
   void TakeReplies(TimePoint now) {
     for (const SchedulerReply& reply : scheduler_.TakeReplies()) {
-      if (const auto* placed = std::get_if<LongPromptPlaced>(&reply.body_)) {
+      if (const auto* placed = std::get_if<PromptPlaced>(&reply.body_)) {
         Place(now, *placed);
       } else if (const auto* refused =
-                     std::get_if<LongPromptRefused>(&reply.body_)) {
+                     std::get_if<PromptRefused>(&reply.body_)) {
         ++result_.refused_;
         const Duration waited =
             now - prompts_[refused->operation_.Value()].asked_;
@@ -372,7 +337,7 @@
     }
   }
 
-  void Place(TimePoint now, const LongPromptPlaced& placed) {
+  void Place(TimePoint now, const PromptPlaced& placed) {
     const uint64_t id = placed.operation_.Value();
     PlacedWork work;
     work.is_short_ = false;
@@ -403,7 +368,8 @@
     for (const auto& [id, prompt] : prompts_) {
       if (now == prompt.ends_) {
         leader_.ledger_.End(prompt.work_);
-        scheduler_.OnStep(now, NodeId("g"), {OperationId(id), true});
+        scheduler_.OnStep(now, NodeId("g"),
+                          PromptStep{OperationId(id), true, {}, {}});
       }
     }
   }
@@ -416,13 +382,14 @@
     prompt.ends_ = now + kAnswer;
     const bool in_time = now - prompt.asked_ <= 2900_ms;
     (in_time ? result_.in_time_ : result_.late_) += 1;
-    scheduler_.OnStep(now, NodeId("g"), {OperationId(id), false});
+    scheduler_.OnStep(now, NodeId("g"),
+                      PromptStep{OperationId(id), false, {}, {}});
   }
 
   Duration period_;
   TargetDirectory directory_;
   Chooser leader_;
-  LongPromptScheduler scheduler_;
+  PromptScheduler scheduler_;
   Service service_ = Model();
   std::map<TargetId, std::vector<Part>> engines_;
   std::map<uint64_t, Prompt> prompts_;
@@ -444,9 +411,9 @@
   TargetDirectory directory;
   AddEngines(directory, 1);
   Chooser leader("g", directory);
-  LongPromptScheduler scheduler(leader.placer_);
+  PromptScheduler scheduler(leader.placer_);
   const Service service = Model();
-  LongPromptAsk ask;
+  PromptAsk ask;
   ask.operation_ = OperationId(1);
   ask.service_ = "model";
   ask.prompt_tokens_ = 45000;
@@ -456,17 +423,17 @@
   scheduler.OnAsk(TimePoint(0), NodeId("g"), ask, &service);
   const auto replies = scheduler.TakeReplies();
   REQUIRE(replies.size() == 1);
-  CHECK(std::holds_alternative<LongPromptPlaced>(replies[0].body_));
+  CHECK(std::holds_alternative<PromptPlaced>(replies[0].body_));
 }
 
 TEST_CASE("long prompts: an unknown service is refused") {
   TargetDirectory directory;
   Chooser leader("g", directory);
-  LongPromptScheduler scheduler(leader.placer_);
-  scheduler.OnAsk(TimePoint(0), NodeId("g"), LongPromptAsk{}, nullptr);
+  PromptScheduler scheduler(leader.placer_);
+  scheduler.OnAsk(TimePoint(0), NodeId("g"), PromptAsk{}, nullptr);
   const auto replies = scheduler.TakeReplies();
   REQUIRE(replies.size() == 1);
-  CHECK(std::holds_alternative<LongPromptRefused>(replies[0].body_));
+  CHECK(std::holds_alternative<PromptRefused>(replies[0].body_));
 }
 
 }  // namespace
--- a/tests/platform/gateway_rig.cc
+++ b/tests/platform/gateway_rig.cc
@@ -1,19 +1,16 @@
-/** @file gateway_rig.cc Sockets of the scripted targets and callers. */
+/** @file gateway_rig.cc Starts a gateway and talks to it. */
 #include "platform/gateway_rig.h"
 
 #include <doctest/doctest.h>
 #include <fcntl.h>
-#include <poll.h>
 #include <unistd.h>
 
 #include <boost/asio/read.hpp>
-#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <fstream>
 #include <sstream>
 
 #include "platform/platform_codec.h"
-#include "transport/http_chunk.h"
 #include "transport/process_settings_file.h"
 #include "transport/steady_clock.h"
 
@@ -57,15 +54,6 @@
   }
 }
 
-std::string ValueIn(const std::string& head, const std::string& name) {
-  const size_t at = head.find("\r\n" + name + ": ");
-  if (at == std::string::npos) {
-    return "";
-  }
-  const size_t begin = at + name.size() + 4;
-  return head.substr(begin, head.find("\r\n", begin) - begin);
-}
-
 std::string Exchange(uint16_t port, const std::string& request) {
   asio::io_context io;
   tcp::socket socket(io);
@@ -82,118 +70,6 @@
 
 }  // namespace
 
-std::string TargetRequest::Header(const std::string& name) const {
-  return ValueIn(head_, name);
-}
-
-void TargetLine::Send(const std::string& bytes) {
-  error_code ignored;
-  asio::write(socket_, asio::buffer(bytes), ignored);
-}
-
-void TargetLine::BeginEvents(const TargetRequest& request) {
-  Send(
-      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-      "Gooseberryvale-Attempt-Id: " +
-      request.Header("Gooseberryvale-Attempt-Id") +
-      "\r\nGooseberryvale-Response-Signature: s\r\n"
-      "Transfer-Encoding: chunked\r\n\r\n");
-}
-
-void TargetLine::SendEvent(int id) {
-  const std::string event =
-      "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
-  Send(HttpChunk(event));
-}
-
-bool TargetLine::PeerClosesWithin(std::chrono::milliseconds time) {
-  pollfd watched{socket_.native_handle(), POLLIN, 0};
-  if (poll(&watched, 1, static_cast<int>(time.count())) <= 0) {
-    return false;
-  }
-  char byte = 0;
-  return recv(socket_.native_handle(), &byte, 1, MSG_PEEK) <= 0;
-}
-
-void TargetLine::Reset() {
-  error_code ignored;
-  socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-  socket_.close(ignored);
-}
-
-ScriptedTarget::ScriptedTarget(Script script)
-    : script_(std::move(script)),
-      acceptor_(io_, {asio::ip::address_v4::loopback(), 0}),
-      accepting_([this]() {
-        while (!stopping_) {
-          error_code error;
-          tcp::socket socket(io_);
-          acceptor_.accept(socket, error);
-          if (!error && !stopping_) {
-            const std::scoped_lock lock(mutex_);
-            threads_.emplace_back([this, taken = std::move(socket)]() mutable {
-              Serve(std::move(taken));
-            });
-          }
-        }
-      }) {}
-
-ScriptedTarget::~ScriptedTarget() {
-  stopping_ = true;
-  asio::io_context io;
-  tcp::socket wake(io);
-  error_code ignored;
-  wake.connect(acceptor_.local_endpoint(), ignored);
-  accepting_.join();
-  for (std::thread& thread : threads_) {
-    thread.join();
-  }
-}
-
-std::string ScriptedTarget::Address() const {
-  return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
-}
-
-std::vector<TargetRequest> ScriptedTarget::Requests() {
-  const std::scoped_lock lock(mutex_);
-  return requests_;
-}
-
-void ScriptedTarget::Serve(tcp::socket socket) {
-  std::string input;
-  while (!stopping_) {
-    error_code error;
-    const size_t head = asio::read_until(socket, asio::dynamic_buffer(input),
-                                         "\r\n\r\n", error);
-    if (error) {
-      return;
-    }
-    TargetRequest request;
-    request.line_ = input.substr(0, input.find("\r\n"));
-    request.head_ =
-        input.substr(request.line_.size(), head - request.line_.size());
-    input.erase(0, head);
-    const std::string length = request.Header("Content-Length");
-    const size_t size = length.empty() ? 0 : std::stoul(length);
-    while (input.size() < size && !error) {
-      std::string more(size - input.size(), '\0');
-      more.resize(socket.read_some(asio::buffer(more), error));
-      input += more;
-    }
-    request.body_ = input.substr(0, size);
-    input.erase(0, size);
-    {
-      const std::scoped_lock lock(mutex_);
-      requests_.push_back(request);
-    }
-    TargetLine line(socket);
-    script_(request, line);
-    if (!socket.is_open()) {
-      return;
-    }
-  }
-}
-
 GatewayRig::GatewayRig(const std::string& configuration)
     : folder_(std::filesystem::temp_directory_path() /
               ("gv_gateway_" + std::to_string(getpid()))),
--- /dev/null
+++ b/tests/platform/scripted_target.h
@@ -0,0 +1,72 @@
+/** @file scripted_target.h A target over real sockets whose answers a test
+ * writes. */
+#pragma once
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace gv {
+
+/** What a scripted target got. */
+struct TargetRequest {
+  std::string line_;  ///< First line.
+  std::string head_;  ///< Headers as they came.
+  std::string body_;  ///< All of it.
+  /** @return The value of a header, or empty. */
+  std::string Header(const std::string& name) const;
+};
+
+/** A connection at a target. Blocks; used on the thread of its request. */
+class TargetLine {
+ public:
+  explicit TargetLine(boost::asio::ip::tcp::socket& socket) : socket_(socket) {}
+  /** Sends bytes as they are. */
+  void Send(const std::string& bytes);
+  /** Begins an event stream without a length. */
+  void BeginEvents(const TargetRequest& request);
+  /** Sends one event with an id. @param data Its line, or "e" and the id. */
+  void SendEvent(int id, const std::string& data = "");
+  /** @return True if the peer closes within the time. */
+  bool PeerClosesWithin(std::chrono::milliseconds time);
+  /** Breaks the connection. */
+  void Reset();
+
+ private:
+  boost::asio::ip::tcp::socket& socket_;  ///< The connection.
+};
+
+/** A target whose answers a test writes. Thread safety: the script runs on one
+ * thread for each connection. */
+class ScriptedTarget {
+ public:
+  using Script = std::function<void(const TargetRequest&, TargetLine&)>;
+  explicit ScriptedTarget(Script script);
+  ~ScriptedTarget();
+  ScriptedTarget(const ScriptedTarget&) = delete;
+  ScriptedTarget& operator=(const ScriptedTarget&) = delete;
+  /** @return "127.0.0.1:PORT". */
+  std::string Address() const;
+  /** @return Requests so far. */
+  std::vector<TargetRequest> Requests();
+
+ private:
+  void Serve(boost::asio::ip::tcp::socket socket);
+
+  Script script_;                            ///< Answers.
+  boost::asio::io_context io_;               ///< For blocking calls.
+  boost::asio::ip::tcp::acceptor acceptor_;  ///< Listens.
+  std::mutex mutex_;                         ///< Guards requests_, threads_.
+  std::vector<TargetRequest> requests_;      ///< Everything that came.
+  std::vector<std::thread> threads_;         ///< One for each connection.
+  std::atomic<bool> stopping_ = false;       ///< The test is over.
+  std::thread accepting_;                    ///< Runs the acceptor.
+};
+
+}  // namespace gv
--- /dev/null
+++ b/tests/soak/soak_process.cc
@@ -0,0 +1,77 @@
+/** @file soak_process.cc Runs a gateway. */
+#include "soak/soak_process.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <fstream>
+
+namespace gv {
+
+SoakProcess::SoakProcess(std::string binary, std::filesystem::path folder,
+                         std::string name, uint16_t port,
+                         const std::string& seeds, bool has_disk)
+    : binary_(std::move(binary)),
+      folder_(std::move(folder)),
+      name_(std::move(name)),
+      port_(port),
+      seeds_(seeds),
+      has_disk_(has_disk) {
+  std::filesystem::create_directories(folder_);
+  std::ofstream(folder_ / "key") << "a-key-of-enough-bytes\n";
+}
+
+SoakProcess::~SoakProcess() { Kill(); }
+
+void SoakProcess::Start(bool bootstrap) {
+  const auto at = [this](int index) {
+    return "127.0.0.1:" + std::to_string(port_ + index);
+  };
+  const std::string folder = folder_.string();
+  std::ofstream(folder_ / "gateway.yaml")
+      << "node: " << name_ << "\nvm: " << name_
+      << "\ndata_centre: d1\ncluster: soak\nkey_file: " << folder
+      << "/key\nroles: [gateway]\nlisten: {peers: \"" << at(0)
+      << "\", callers: \"" << at(1) << "\", readiness: \"" << at(2)
+      << "\", control: \"" << at(3)
+      << "\"}\ncontrol: {bootstrap: " << (bootstrap ? "true" : "false")
+      << (has_disk_ ? ", data_folder: " + folder + "/data" : "")
+      << "}\ngateway: {seeds: [" << seeds_ << "], tolerated_losses: 1}\n";
+  const std::string settings = "--settings=" + folder + "/gateway.yaml";
+  const std::string log = folder + "/log";
+  pid_ = fork();
+  if (pid_ == 0) {
+    const int out = open(log.c_str(), O_CREAT | O_APPEND | O_WRONLY, 0600);
+    dup2(out, STDOUT_FILENO);
+    dup2(out, STDERR_FILENO);
+    execl(binary_.c_str(), binary_.c_str(), "run", settings.c_str(), nullptr);
+    _exit(127);
+  }
+}
+
+void SoakProcess::Signal(int signal) {
+  if (pid_ > 0) {
+    kill(pid_, signal);
+  }
+}
+
+bool SoakProcess::HasEnded() {
+  if (pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == pid_) {
+    pid_ = 0;
+  }
+  return pid_ == 0;
+}
+
+void SoakProcess::Kill() {
+  if (pid_ > 0) {
+    kill(pid_, SIGKILL);
+    waitpid(pid_, nullptr, 0);
+    pid_ = 0;
+  }
+}
+
+void SoakProcess::LoseDisk() { std::filesystem::remove_all(folder_ / "data"); }
+
+}  // namespace gv
--- /dev/null
+++ b/tests/soak/soak_process.h
@@ -0,0 +1,49 @@
+/** @file soak_process.h One gateway as a process of its own. */
+#pragma once
+
+#include <sys/types.h>
+
+#include <filesystem>
+#include <string>
+
+namespace gv {
+
+/** Starts, signals and restarts one gateway. Thread safety: one thread. */
+class SoakProcess {
+ public:
+  /** @param folder Of this gateway; gets settings, data and log.
+   * @param port The first of four. @param seeds Peer addresses. */
+  SoakProcess(std::string binary, std::filesystem::path folder,
+              std::string name, uint16_t port, const std::string& seeds,
+              bool has_disk);
+  ~SoakProcess();
+  SoakProcess(const SoakProcess&) = delete;
+  SoakProcess& operator=(const SoakProcess&) = delete;
+
+  /** Starts the process. @param bootstrap True at the first start only.
+   * @pre It doesn't run. */
+  void Start(bool bootstrap);
+  /** Sends a signal to the process, if it runs. */
+  void Signal(int signal);
+  /** @return True if the process has ended; takes its exit in. */
+  bool HasEnded();
+  /** Kills the process and waits for its end. */
+  void Kill();
+  /** Removes the data folder. @pre It doesn't run. */
+  void LoseDisk();
+  bool HasDisk() const { return has_disk_; }
+  uint16_t CallerPort() const { return static_cast<uint16_t>(port_ + 1); }
+  uint16_t ControlPort() const { return static_cast<uint16_t>(port_ + 3); }
+  const std::string& Name() const { return name_; }
+
+ private:
+  std::string binary_;
+  std::filesystem::path folder_;
+  std::string name_;
+  uint16_t port_;
+  std::string seeds_;
+  bool has_disk_;
+  pid_t pid_ = 0;
+};
+
+}  // namespace gv
--- /dev/null
+++ b/tests/soak/soak_world.h
@@ -0,0 +1,89 @@
+/** @file soak_world.h Gateways as processes, targets, proxies between them, and
+ * a schedule of faults that a seed gives. */
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "platform/scripted_target.h"
+#include "soak/fault_proxy.h"
+#include "soak/soak_ledger.h"
+#include "soak/soak_process.h"
+
+namespace gv {
+
+/** The size of a soak. */
+struct SoakSize {
+  std::string binary_;  ///< Path of gooseberryvale.
+  std::string folder_;  ///< For settings, data and logs.
+  int disks_ = 3;       ///< Gateways with a disk.
+  int others_ = 3;      ///< Gateways without.
+  int targets_ = 3;     ///< Of each service.
+};
+
+/** Thread safety: one thread, but for the methods that say otherwise. */
+class SoakWorld {
+ public:
+  SoakWorld(const SoakSize& size, SoakLedger& ledger, uint64_t seed);
+  ~SoakWorld();
+  SoakWorld(const SoakWorld&) = delete;
+  SoakWorld& operator=(const SoakWorld&) = delete;
+
+  /** Injects one fault and restarts what has ended. @return Its line. */
+  std::string Disturb();
+  /** Ends all faults and restarts everything. */
+  void Heal();
+  /** @return The callers' port of a gateway. Thread safety: any thread. */
+  uint16_t PickCaller();
+  /** @return The control port of a gateway. Thread safety: any thread. */
+  uint16_t PickControl();
+  /** @return True if the gateway of a callers' port was left alone since
+   * @p time, and a little before. Thread safety: any thread. */
+  bool WasCalm(uint16_t caller_port, TimePoint time) const;
+  std::vector<uint16_t> CallerPorts() const;
+  std::vector<uint16_t> ControlPorts() const;
+
+ private:
+  /** A gateway, and the proxy in front of it. */
+  struct Member {
+    std::unique_ptr<SoakProcess> process_;
+    std::unique_ptr<FaultProxy> callers_;
+    TimePoint disturbed_;  ///< Until then, at least.
+    TimePoint wake_;       ///< When a stopped one goes on; or none.
+  };
+  /** A target, and the proxy in front of it. */
+  struct Target {
+    std::string id_;
+    std::string service_;
+    std::unique_ptr<ScriptedTarget> target_;
+    std::unique_ptr<FaultProxy> proxy_;
+    TimePoint calm_;  ///< When its link is mended.
+  };
+
+  void AddTarget(const std::string& service, int index);
+  void Serve(const TargetRequest& request, TargetLine& line);
+  void Register();
+  void Restart();
+  void Touch(Member& member, Duration time);
+  Member& AnyMember() { return members_[random_() % members_.size()]; }
+  std::string DisturbProcess(Member& member);
+  std::string DisturbLink();
+
+  SoakLedger& ledger_;
+  std::mt19937_64 random_;
+  uint64_t seed_;
+  std::vector<Member> members_;
+  TimePoint lost_disk_;  ///< When a disk was lost last.
+  std::vector<Target> targets_;
+  mutable std::mutex mutex_;  ///< Guards times of members_, port_random_.
+  std::mt19937_64 port_random_;
+  std::atomic<bool> stop_ = false;
+  std::thread registering_;
+};
+
+}  // namespace gv
