Ask the new leader when the old one was replaced; a soak of real processes

It now asks the new leader as soon as there is one. The soak starts gateways as processes on loopback addresses of their own, puts proxies before them and before targets, and injects faults by a seed. Its first run found nothing elected: the soak gave gateways different ports, which seeds don't allow.

--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -51,8 +51,8 @@
     ClaimFinish, ClaimFinished, GroupRequest, GroupReply, GroupRenew, GroupHold,
     GroupHeld, TargetReserve, TargetReserved, RegistryPoll, RegistryStatus,
     ConfigurationPush, TargetGossip, ChangeForward, ChangeOutcome, ReadForward,
-    ReadOutcome, GatewayLoad, PromptAsk, PromptPlaced,
-    PromptRefused, PromptStep, PromptQueued>;
+    ReadOutcome, GatewayLoad, PromptAsk, PromptPlaced, PromptRefused,
+    PromptStep, PromptQueued>;
 
 /** True for the types that are alternatives of Variant. */
 template <class T, class Variant>
--- a/src/transport/gateway/forward_prompt.cc
+++ b/src/transport/gateway/forward_prompt.cc
@@ -132,7 +132,19 @@
     TryTarget();
     return;
   }
-  if (leader_answer_by_ == TimePoint() || now < leader_answer_by_) {
+  if (leader_answer_by_ == TimePoint()) {
+    return;
+  }
+  const NodeId& leader = gateway_.Registry().Leader();
+  if (ask_ && !leader.IsNone() && gateway_.AskedLeader(*ask_) != leader) {
+    // The one that was asked leads no more and may never answer.
+    leader_answer_by_ = TimePoint();
+    LeaveLeader();
+    asked_leader_ = false;
+    TryTarget();
+    return;
+  }
+  if (now < leader_answer_by_) {
     return;
   }
   const bool is_long = leader_answer_by_ - leader_asked_ > kShortAnswer;
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -72,9 +72,8 @@
 
 TEST_CASE("codec: numbers that a field can't hold give a verdict") {
   const auto decodes = [](const std::string& prompt_tokens) {
-    return EnvelopeFromJson(
-               R"([["a",1],["b",1],[0,0],"PromptAsk",[1,"s",)" +
-               prompt_tokens + "]]")
+    return EnvelopeFromJson(R"([["a",1],["b",1],[0,0],"PromptAsk",[1,"s",)" +
+                            prompt_tokens + "]]")
         .has_value();
   };
   CHECK(decodes("7"));
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -22,8 +22,9 @@
 
 }  // namespace
 
-FaultProxy::FaultProxy(uint16_t server)
-    : server_(server), acceptor_(io_, {asio::ip::address_v4::loopback(), 0}) {
+FaultProxy::FaultProxy(tcp::endpoint server)
+    : server_(std::move(server)),
+      acceptor_(io_, {asio::ip::address_v4::loopback(), 0}) {
   asio::co_spawn(io_, Accept(), asio::detached);
   thread_ = std::thread([this]() { io_.run(); });
 }
@@ -65,8 +66,7 @@
 asio::awaitable<void> FaultProxy::Serve(std::shared_ptr<Link> link) {
   boost::system::error_code error;
   co_await link->server_.async_connect(
-      {asio::ip::address_v4::loopback(), server_},
-      asio::redirect_error(asio::use_awaitable, error));
+      server_, asio::redirect_error(asio::use_awaitable, error));
   if (error) {
     Reset(*link);
     co_return;
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -24,8 +24,8 @@
 /** A proxy to one server. Thread safety: any thread. */
 class FaultProxy {
  public:
-  /** @param server Port on loopback. */
-  explicit FaultProxy(uint16_t server);
+  /** @param server Where connections go. */
+  explicit FaultProxy(boost::asio::ip::tcp::endpoint server);
   ~FaultProxy();
   FaultProxy(const FaultProxy&) = delete;
   FaultProxy& operator=(const FaultProxy&) = delete;
@@ -50,7 +50,7 @@
   boost::asio::awaitable<void> Pump(std::shared_ptr<Link> link, bool to_client);
   static void Reset(Link& link);
 
-  uint16_t server_;
+  boost::asio::ip::tcp::endpoint server_;
   boost::asio::io_context io_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::atomic<LinkFault> fault_{LinkFault::kNone};
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -81,6 +81,7 @@
         [](uint16_t, TimePoint) { return true; });
     int served = 0;
     do {
+      world.Heal();
       served = 0;
       for (int i = 0; i < kAsksOfCheck; ++i) {
         served += caller.AskAny() ? 1 : 0;
--- a/tests/soak/soak_process.cc
+++ b/tests/soak/soak_process.cc
@@ -11,12 +11,12 @@
 namespace gv {
 
 SoakProcess::SoakProcess(std::string binary, std::filesystem::path folder,
-                         std::string name, uint16_t port,
+                         std::string name, std::string ip,
                          const std::string& seeds, bool has_disk)
     : binary_(std::move(binary)),
       folder_(std::move(folder)),
       name_(std::move(name)),
-      port_(port),
+      ip_(std::move(ip)),
       seeds_(seeds),
       has_disk_(has_disk) {
   std::filesystem::create_directories(folder_);
@@ -25,9 +25,17 @@
 
 SoakProcess::~SoakProcess() { Kill(); }
 
+boost::asio::ip::tcp::endpoint SoakProcess::Callers() const {
+  return {boost::asio::ip::make_address(ip_), kSoakPeerPort + 1};
+}
+
+boost::asio::ip::tcp::endpoint SoakProcess::Control() const {
+  return {boost::asio::ip::make_address(ip_), kSoakPeerPort + 3};
+}
+
 void SoakProcess::Start(bool bootstrap) {
   const auto at = [this](int index) {
-    return "127.0.0.1:" + std::to_string(port_ + index);
+    return ip_ + ":" + std::to_string(kSoakPeerPort + index);
   };
   const std::string folder = folder_.string();
   std::ofstream(folder_ / "gateway.yaml")
--- a/tests/soak/soak_process.h
+++ b/tests/soak/soak_process.h
@@ -3,18 +3,22 @@
 
 #include <sys/types.h>
 
+#include <boost/asio/ip/tcp.hpp>
 #include <filesystem>
 #include <string>
 
 namespace gv {
 
+inline constexpr uint16_t kSoakPeerPort = 17400;
+
 /** Starts, signals and restarts one gateway. Thread safety: one thread. */
 class SoakProcess {
  public:
   /** @param folder Of this gateway; gets settings, data and log.
-   * @param port The first of four. @param seeds Peer addresses. */
+   * @param ip Of its own on loopback, as all gateways use the same ports.
+   * @param seeds Peer addresses. */
   SoakProcess(std::string binary, std::filesystem::path folder,
-              std::string name, uint16_t port, const std::string& seeds,
+              std::string name, std::string ip, const std::string& seeds,
               bool has_disk);
   ~SoakProcess();
   SoakProcess(const SoakProcess&) = delete;
@@ -32,15 +36,17 @@
   /** Removes the data folder. @pre It doesn't run. */
   void LoseDisk();
   bool HasDisk() const { return has_disk_; }
-  uint16_t CallerPort() const { return static_cast<uint16_t>(port_ + 1); }
-  uint16_t ControlPort() const { return static_cast<uint16_t>(port_ + 3); }
+  /** @return Where callers connect. */
+  boost::asio::ip::tcp::endpoint Callers() const;
+  /** @return Where targets and operators connect. */
+  boost::asio::ip::tcp::endpoint Control() const;
   const std::string& Name() const { return name_; }
 
  private:
   std::string binary_;
   std::filesystem::path folder_;
   std::string name_;
-  uint16_t port_;
+  std::string ip_;
   std::string seeds_;
   bool has_disk_;
   pid_t pid_ = 0;
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -16,10 +16,6 @@
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
-constexpr uint16_t kFirstPort = 21000;
-constexpr uint16_t kPortsOfGateway = 4;
-constexpr uint16_t kPortsOfSeed = 100;
-constexpr uint16_t kSeedRanges = 25;
 constexpr milliseconds kRegistrationPeriod{400};
 constexpr Duration kStart = 1_s;
 /** A gateway counts as disturbed for so long after a fault of its own. */
@@ -28,31 +24,11 @@
 constexpr Duration kRepair = 8_s;
 constexpr uint64_t kPercent = 100;
 
-bool PortsAreFree(uint16_t first, int count) {
-  asio::io_context io;
-  for (int i = 0; i < count; ++i) {
-    boost::system::error_code error;
-    asio::ip::tcp::acceptor probe(io);
-    probe.open(asio::ip::tcp::v4(), error);
-    probe.set_option(asio::socket_base::reuse_address(true), error);
-    probe.bind(
-        {asio::ip::address_v4::loopback(), static_cast<uint16_t>(first + i)},
-        error);
-    if (error) {
-      return false;
-    }
-  }
-  return true;
-}
-
-uint16_t FindPorts(uint64_t seed, int count) {
-  uint64_t range = seed % kSeedRanges;
-  for (;; range = (range + 1) % kSeedRanges) {
-    const auto first = static_cast<uint16_t>(kFirstPort + range * kPortsOfSeed);
-    if (PortsAreFree(first, count)) {
-      return first;
-    }
-  }
+/** @return An address on loopback that only this gateway of this seed uses. */
+std::string AddressOf(uint64_t seed, int index) {
+  constexpr uint64_t kSeeds = 200;
+  return "127.1." + std::to_string(seed % kSeeds) + "." +
+         std::to_string(index + 1);
 }
 
 }  // namespace
@@ -60,21 +36,19 @@
 SoakWorld::SoakWorld(const SoakSize& size, SoakLedger& ledger, uint64_t seed)
     : ledger_(ledger), random_(seed), seed_(seed), port_random_(seed + 1) {
   const int gateways = size.disks_ + size.others_;
-  const uint16_t first = FindPorts(seed, gateways * kPortsOfGateway);
   std::string seeds;
   for (int i = 0; i < size.disks_; ++i) {
-    seeds += (i > 0 ? ", \"127.0.0.1:" : "\"127.0.0.1:") +
-             std::to_string(first + i * kPortsOfGateway) + "\"";
+    seeds += (i > 0 ? ", \"" : "\"") + AddressOf(seed, i) + ":" +
+             std::to_string(kSoakPeerPort) + "\"";
   }
   for (int i = 0; i < gateways; ++i) {
     const std::string name = "g" + std::to_string(i);
     Member member;
     member.process_ = std::make_unique<SoakProcess>(
-        size.binary_, size.folder_ + "/" + name, name,
-        static_cast<uint16_t>(first + i * kPortsOfGateway), seeds,
-        i < size.disks_);
-    member.callers_ =
-        std::make_unique<FaultProxy>(member.process_->CallerPort());
+        size.binary_, size.folder_ + "/" + name, name, AddressOf(seed, i),
+        seeds, i < size.disks_);
+    member.callers_ = std::make_unique<FaultProxy>(member.process_->Callers());
+    member.control_ = std::make_unique<FaultProxy>(member.process_->Control());
     member.process_->Start(true);
     members_.push_back(std::move(member));
   }
@@ -110,8 +84,10 @@
         Serve(request, line);
       });
   const std::string address = target.target_->Address();
+  const auto port =
+      static_cast<uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
   target.proxy_ = std::make_unique<FaultProxy>(
-      static_cast<uint16_t>(std::stoi(address.substr(address.find(':') + 1))));
+      asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), port));
   targets_.push_back(std::move(target));
 }
 
@@ -190,7 +166,7 @@
 
 uint16_t SoakWorld::PickControl() {
   const std::scoped_lock lock(mutex_);
-  return members_[port_random_() % members_.size()].process_->ControlPort();
+  return members_[port_random_() % members_.size()].control_->Port();
 }
 
 std::vector<uint16_t> SoakWorld::CallerPorts() const {
@@ -204,7 +180,7 @@
 std::vector<uint16_t> SoakWorld::ControlPorts() const {
   std::vector<uint16_t> ports;
   for (const Member& member : members_) {
-    ports.push_back(member.process_->ControlPort());
+    ports.push_back(member.control_->Port());
   }
   return ports;
 }
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -49,10 +49,11 @@
   std::vector<uint16_t> ControlPorts() const;
 
  private:
-  /** A gateway, and the proxy in front of it. */
+  /** A gateway, and the proxies in front of it. */
   struct Member {
     std::unique_ptr<SoakProcess> process_;
     std::unique_ptr<FaultProxy> callers_;
+    std::unique_ptr<FaultProxy> control_;
     TimePoint disturbed_;  ///< Until then, at least.
     TimePoint wake_;       ///< When a stopped one goes on; or none.
   };
