--- a/tests/gateway_attempt_test.cc
+++ b/tests/gateway_attempt_test.cc
@@ -131,6 +131,7 @@
   // Every request fails at once at every gateway; reports are 200 ms old.
   for (TimePoint now(0); now < TimePoint(10000); now = now + 200_ms) {
     std::vector<RepeatCount> reports;
+    reports.reserve(kGateways);
     for (RetryWindow& window : windows) {
       reports.push_back(window.Own(now));
     }
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -32,10 +32,10 @@
 constexpr int kServedOfCheck = 8;
 
 /** Runs callers and the operator while the schedule goes on. */
-void RunFaults(SoakWorld& world, SoakLedger& ledger, SoakOperator& operator_) {
+void RunFaults(SoakWorld& world, SoakLedger& ledger, SoakOperator& changer) {
   std::atomic<bool> stop = false;
   std::vector<std::thread> threads;
-  threads.emplace_back([&]() { operator_.Run(stop); });
+  threads.emplace_back([&]() { changer.Run(stop); });
   for (int i = 0; i < FLAGS_callers; ++i) {
     threads.emplace_back([&, i]() {
       SoakCaller(
@@ -62,13 +62,13 @@
 
 /** Checks that each gateway serves again and reads what was acknowledged. */
 void CheckRecovery(SoakWorld& world, SoakLedger& ledger,
-                   SoakOperator& operator_) {
+                   SoakOperator& changer) {
   const TimePoint end = SteadyNow() + kRecovery;
   for (const uint16_t port : world.ControlPorts()) {
     bool read = false;
     while (!read && SteadyNow() < end) {
       world.Heal();
-      read = operator_.Read(port, Promise::kNothingLost);
+      read = changer.Read(port, Promise::kNothingLost);
       std::this_thread::sleep_for(milliseconds(50));
     }
     if (!read) {
@@ -106,14 +106,14 @@
   {
     SoakWorld world({FLAGS_binary, folder, FLAGS_disks, FLAGS_others, 3},
                     ledger, FLAGS_seed);
-    SoakOperator operator_(ledger, FLAGS_seed,
-                           [&world]() { return world.PickControl(); });
-    if (!operator_.Change(kStartTime)) {
+    SoakOperator changer(ledger, FLAGS_seed,
+                         [&world]() { return world.PickControl(); });
+    if (!changer.Change(kStartTime)) {
       ledger.Break(Promise::kServedAgain, "no configuration was accepted");
     }
-    RunFaults(world, ledger, operator_);
+    RunFaults(world, ledger, changer);
     world.Heal();
-    CheckRecovery(world, ledger, operator_);
+    CheckRecovery(world, ledger, changer);
   }
   for (const std::string& line : ledger.Broken()) {
     std::cout << "BROKEN " << line << "\n";
