--- a/src/coordination/gateway/placement.cc
+++ b/src/coordination/gateway/placement.cc
@@ -444,27 +444,26 @@
   }
 }
 
-double Placer::ShortQueueMs(TimePoint now, const PlacementRequest& request,
-                            size_t ahead, double passing_rate) const {
+double SlotFlow::WaitMs(size_t ahead, double passing_rate) const {
+  const double free_rate = freed_per_ms_ - passing_rate / kMsPerSecond;
+  return free_rate <= 0
+             ? kNoRoomMs
+             : static_cast<double>(ahead + 1) / free_rate + start_ms_;
+}
+
+SlotFlow Placer::FlowOf(TimePoint now, const PlacementRequest& request) const {
   const EngineProfile& engine = *request.service_->engine_;
-  const std::vector<Candidate> engines = Candidates(now, request);
-  if (engines.empty()) {
-    return kNoRoomMs;
-  }
+  const auto engines = static_cast<double>(Candidates(now, request).size());
   const int64_t tokens = request.prompt_tokens_ + request.answer_tokens_;
   const double answer_ms =
       AnswerMs(engine, engine.slots_, engine.slots_ * tokens,
                std::max<int64_t>(1, engine.usual_answer_tokens_));
-  const auto slots =
-      static_cast<double>(engine.slots_) * static_cast<double>(engines.size());
-  const double free_rate = slots / answer_ms - passing_rate / kMsPerSecond;
-  if (free_rate <= 0) {
-    return kNoRoomMs;
-  }
+  SlotFlow flow;
+  flow.freed_per_ms_ = static_cast<double>(engine.slots_) * engines / answer_ms;
   // Half of the pass in progress, and the pass that makes the first event.
-  return static_cast<double>(ahead + 1) / free_rate +
-         1.5 * PassMs(engine, engine.slots_, engine.slots_ * tokens) +
-         PrefillMs(engine, request.prompt_tokens_);
+  flow.start_ms_ = 1.5 * PassMs(engine, engine.slots_, engine.slots_ * tokens) +
+                   PrefillMs(engine, request.prompt_tokens_);
+  return flow;
 }
 
 std::optional<Placement> Placer::PlaceLongNow(
--- a/src/coordination/gateway/placement.h
+++ b/src/coordination/gateway/placement.h
@@ -39,6 +39,15 @@
   uint64_t hash_ = 0;                 ///< Spreads requests that look alike.
 };
 
+/** Short prompts that wait for a slot. */
+struct SlotFlow {
+  double freed_per_ms_ = 0;  ///< Slots of all engines that become free.
+  double start_ms_ = 0;      ///< From a free slot to the first event.
+  /** @return Predicted time to the first event after @p ahead others, while
+   * @p passing_rate prompts a second come later and go first. */
+  double WaitMs(size_t ahead, double passing_rate) const;
+};
+
 /** Where a request goes. */
 struct Placement {
   TargetId target_;                            ///< Gets the request.
@@ -89,13 +98,8 @@
                                          const PlacementRequest& request,
                                          const GrantedWork& granted) const;
 
-  /**
-   * @return Predicted time to the first event of a short prompt that begins
-   * after @p ahead others which wait for a slot, in milliseconds.
-   * @param passing_rate Short prompts in a second that come later and go first.
-   */
-  double ShortQueueMs(TimePoint now, const PlacementRequest& request,
-                      size_t ahead, double passing_rate) const;
+  /** @return How fast slots become free for prompts like @p request. */
+  SlotFlow FlowOf(TimePoint now, const PlacementRequest& request) const;
 
   /** @return Engines that read long prompts, at least 1. */
   size_t ReaderCount(TimePoint now, const PlacementRequest& request,
--- a/src/coordination/gateway/prompt_scheduler.cc
+++ b/src/coordination/gateway/prompt_scheduler.cc
@@ -177,7 +177,8 @@
       return;
     }
   }
-  const double wait_ms = ShortWaitMs(now, queued, short_queue_.size());
+  const double wait_ms = ShortWaitMs(
+      now, queued, placer_.FlowOf(now, RequestOf(queued)), short_queue_.size());
   if (wait_ms > static_cast<double>((queued.due_ - now).Ms())) {
     Refuse(queued, wait_ms);
     return;
@@ -187,26 +188,29 @@
 }
 
 bool PromptScheduler::MayBeInTime(TimePoint now, const Queued& queued,
-                                  size_t ahead) const {
-  const double wait_ms =
-      placer_.ShortQueueMs(now, RequestOf(queued), ahead, 0) + kShortWaysMs;
-  return wait_ms <= static_cast<double>((queued.rank_ - now).Ms());
+                                  const SlotFlow& flow, size_t ahead) {
+  return flow.WaitMs(ahead, 0) + kShortWaysMs <=
+         static_cast<double>((queued.rank_ - now).Ms());
 }
 
 double PromptScheduler::ShortWaitMs(TimePoint now, const Queued& queued,
-                                    size_t ahead) const {
+                                    const SlotFlow& flow, size_t ahead) const {
   // What is late already waits until nothing that can be in time needs a slot.
   const double passing =
-      MayBeInTime(now, queued, ahead) ? 0 : work_.short_rate_;
-  return placer_.ShortQueueMs(now, RequestOf(queued), ahead, passing) +
-         kShortWaysMs;
+      MayBeInTime(now, queued, flow, ahead) ? 0 : work_.short_rate_;
+  return flow.WaitMs(ahead, passing) + kShortWaysMs;
 }
 
 void PromptScheduler::PlaceShorts(TimePoint now) {
+  if (short_queue_.empty()) {
+    return;
+  }
+  const SlotFlow flow = placer_.FlowOf(now, RequestOf(short_queue_.front()));
   while (!short_queue_.empty()) {
     const auto in_time = std::find_if(
-        short_queue_.begin(), short_queue_.end(),
-        [&](const Queued& queued) { return MayBeInTime(now, queued, 0); });
+        short_queue_.begin(), short_queue_.end(), [&](const Queued& queued) {
+          return MayBeInTime(now, queued, flow, 0);
+        });
     const auto next =
         in_time == short_queue_.end() ? short_queue_.begin() : in_time;
     const auto placement = placer_.PlaceShortNow(now, RequestOf(*next), work_);
@@ -218,7 +222,7 @@
   }
   for (size_t i = 0; i < short_queue_.size();) {
     const Queued& queued = short_queue_[i];
-    const double wait_ms = ShortWaitMs(now, queued, i);
+    const double wait_ms = ShortWaitMs(now, queued, flow, i);
     if (wait_ms <= static_cast<double>((queued.due_ - now).Ms())) {
       ++i;
       continue;
--- a/src/coordination/gateway/prompt_scheduler.h
+++ b/src/coordination/gateway/prompt_scheduler.h
@@ -87,8 +87,10 @@
   static double WaitMs(double ahead_ms, double prefill_ms, double readers);
   std::vector<Queued>::iterator FindVictim(size_t late);
   void RefuseHopeless(TimePoint now);
-  bool MayBeInTime(TimePoint now, const Queued& queued, size_t ahead) const;
-  double ShortWaitMs(TimePoint now, const Queued& queued, size_t ahead) const;
+  static bool MayBeInTime(TimePoint now, const Queued& queued,
+                          const SlotFlow& flow, size_t ahead);
+  double ShortWaitMs(TimePoint now, const Queued& queued, const SlotFlow& flow,
+                     size_t ahead) const;
   void Refuse(const Queued& queued, double wait_ms);
   void Grant(TimePoint now, const Queued& queued, const Placement& placement);
   double OpenMs(TimePoint now) const;
