Wait for a leader once, and report each outcome once

Found by reading the change: a long prompt that was placed without a leader kept its mark of waiting, so that a tick during its reservations placed it again; and an ask that was left after a failed attempt reported that failure a second time.

--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -147,9 +147,10 @@
   HealthOutcome outcome_ = HealthOutcome::kUnknown;  ///< Of the last attempt.
   TargetId last_target_;                             ///< Of the last attempt.
   std::optional<OperationId> ask_;                   ///< Open at the leader.
-  TimePoint leader_by_;         ///< Waits for a leader until then.
-  TimePoint leader_asked_;      ///< When.
-  TimePoint leader_answer_by_;  ///< When to go on without it.
+  bool waits_for_leader_ = false;  ///< Not placed, as none can be asked.
+  TimePoint leader_by_;            ///< Waits for a leader until then.
+  TimePoint leader_asked_;         ///< When.
+  TimePoint leader_answer_by_;     ///< When to go on without it.
 
   std::optional<Placement> reserving_;  ///< Waits for its tickets.
   std::vector<Ticket> tickets_;         ///< Of this request.
--- a/src/transport/gateway/forward_prompt.cc
+++ b/src/transport/gateway/forward_prompt.cc
@@ -1,5 +1,6 @@
 /** @file forward_prompt.cc A prompt waits for its turn at the leader. */
 #include <algorithm>
+#include <utility>
 
 #include "coordination/gateway/engine_model.h"
 #include "transport/gateway/forward.h"
@@ -35,10 +36,11 @@
   if (!gateway_.CanAskLeader()) {
     // Long prompts that are placed without the leader would all be read at
     // once, each of them late.
-    leader_by_ = is_long && leader_by_ == TimePoint()
-                     ? gateway_.Now() + route_.objective_ / kLeaderWait
-                     : leader_by_;
-    return is_long && gateway_.Now() < leader_by_;
+    if (leader_by_ == TimePoint()) {
+      leader_by_ = gateway_.Now() + route_.objective_ / kLeaderWait;
+    }
+    waits_for_leader_ = is_long && gateway_.Now() < leader_by_;
+    return waits_for_leader_;
   }
   asked_leader_ = true;
   leader_by_ = TimePoint();
@@ -70,10 +72,9 @@
 }
 
 Duration Forward::LatestStart(bool is_long) const {
-  // A caller that was refused before is late already: it gets longer, but
-  // stands in the queue like others that come now. A prompt that a target has
-  // failed gets all the time that is left. A short prompt is rather served late
-  // than refused, as it would be later still when it comes back.
+  // A caller that was refused before is late already, and gets longer. A short
+  // prompt is rather served late than refused, as it would be later still when
+  // it comes back.
   if (!is_long) {
     return std::max(route_.objective_, kShortLatest);
   }
@@ -127,8 +128,8 @@
 }
 
 void Forward::CheckLeader(TimePoint now) {
-  if (leader_by_ != TimePoint() && !asked_leader_ && !attempt_ &&
-      (gateway_.CanAskLeader() || now >= leader_by_)) {
+  if (waits_for_leader_ && (gateway_.CanAskLeader() || now >= leader_by_)) {
+    waits_for_leader_ = false;
     TryTarget();
     return;
   }
@@ -162,7 +163,9 @@
 
 void Forward::LeaveLeader() {
   if (ask_) {
-    gateway_.StepPrompt(*ask_, true, last_target_, outcome_);
+    // Each outcome is reported once.
+    gateway_.StepPrompt(*ask_, true, last_target_,
+                        std::exchange(outcome_, HealthOutcome::kUnknown));
     ask_.reset();
   }
 }
