--- a/src/coordination/gateway/placement.cc
+++ b/src/coordination/gateway/placement.cc
@@ -18,8 +18,6 @@
 constexpr double kLongPartMs = 120;
 /** The same on engines that write short answers. */
 constexpr double kShortPartMs = 100;
-/** The engines' own bound on the helpers of one prompt. */
-constexpr int64_t kMostHelpers = 16;
 /** Streams of short answers for each slot at which passes stay short. */
 constexpr double kShortFill = 0.75;
 /** Engines read for this part of the time at most, so that queues stay short.
@@ -124,6 +122,13 @@
   return candidates;
 }
 
+void Placer::SortByOrder(std::vector<Candidate>& candidates) {
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return a.order_ < b.order_;
+            });
+}
+
 std::optional<Placement> Placer::Place(TimePoint now,
                                        const PlacementRequest& request) const {
   std::vector<Candidate> candidates = Candidates(now, request);
@@ -220,10 +225,7 @@
   const EngineProfile& engine = *request.service_->engine_;
   const bool is_short =
       PrefillMs(engine, request.prompt_tokens_) <= kLongPrefillMs;
-  std::sort(candidates.begin(), candidates.end(),
-            [](const Candidate& a, const Candidate& b) {
-              return a.order_ < b.order_;
-            });
+  SortByOrder(candidates);
   const size_t border = ShortShare(now, engine, candidates.size());
   const auto middle = candidates.begin() + static_cast<std::ptrdiff_t>(border);
   if (!is_short && middle != candidates.end()) {
@@ -313,10 +315,7 @@
                                                 const PlacementRequest& request,
                                                 double short_rate) const {
   std::vector<Candidate> zone = Candidates(now, request);
-  std::sort(zone.begin(), zone.end(),
-            [](const Candidate& a, const Candidate& b) {
-              return a.order_ < b.order_;
-            });
+  SortByOrder(zone);
   // A single engine serves both.
   const size_t border = zone.size() < 2
                             ? 0
@@ -380,10 +379,7 @@
   const EngineProfile& engine = *request.service_->engine_;
   const int64_t tokens = request.prompt_tokens_ + request.answer_tokens_;
   std::vector<Candidate> engines = Candidates(now, request);
-  std::sort(engines.begin(), engines.end(),
-            [](const Candidate& a, const Candidate& b) {
-              return a.order_ < b.order_;
-            });
+  SortByOrder(engines);
   const size_t border =
       ShortShare(now, engine, engines.size(), granted.short_rate_);
   const Candidate* best = nullptr;
@@ -438,9 +434,7 @@
   candidate.load_.prefill_ms_ += granted.short_.At(id).prefill_ms_;
   const auto reading = granted.readings_.find(id);
   if (reading != granted.readings_.end()) {
-    const int64_t left = (reading->second.until_ - now).Ms();
-    candidate.load_.prefill_ms_ +=
-        static_cast<double>(std::max<int64_t>(0, left));
+    candidate.load_.prefill_ms_ += reading->second.LeftMs(now);
   }
 }
 
@@ -493,9 +487,7 @@
     readers += candidate.load_.requests_ == 0 ? 1 : 0;
     const auto reading = granted.readings_.find(id);
     if (reading != granted.readings_.end()) {
-      const int64_t left = (reading->second.until_ - now).Ms();
-      candidate.load_.prefill_ms_ +=
-          static_cast<double>(std::max<int64_t>(0, left));
+      candidate.load_.prefill_ms_ += reading->second.LeftMs(now);
       if (reading->second.open_ > kMostOpenParts) {
         continue;
       }
--- a/src/coordination/gateway/placement.h
+++ b/src/coordination/gateway/placement.h
@@ -15,10 +15,17 @@
 
 namespace gv {
 
+/** The engines' own bound on the helpers of one prompt. */
+inline constexpr int64_t kMostHelpers = 16;
+
 /** What an engine was given to read. */
 struct EngineReading {
   TimePoint until_;   ///< When it should have read everything.
   int64_t open_ = 0;  ///< Parts of prompts without a first event.
+  /** @return Milliseconds of prefill that are left. */
+  double LeftMs(TimePoint now) const {
+    return static_cast<double>(std::max<int64_t>(0, (until_ - now).Ms()));
+  }
 };
 using EngineReadings = std::unordered_map<TargetId, EngineReading>;
 
@@ -126,6 +133,7 @@
     bool on_trial_ = false;      ///< Failed lately; gets one request at a time.
   };
 
+  static void SortByOrder(std::vector<Candidate>& candidates);
   std::vector<Candidate> Candidates(TimePoint now,
                                     const PlacementRequest& request) const;
   Placement PlaceCall(std::vector<Candidate>& candidates) const;
--- a/src/coordination/gateway/prompt_scheduler.cc
+++ b/src/coordination/gateway/prompt_scheduler.cc
@@ -32,7 +32,7 @@
 /** Readers pause between two parts for a part of the time. */
 constexpr double kReaderUse = 0.7;
 /** Engines that read one prompt: the owner and its helpers. */
-constexpr double kMostReaders = 17;
+constexpr double kMostReaders = kMostHelpers + 1;
 /** A queued prompt is kept while it is this much late at most, as predictions
  * are not exact. */
 constexpr double kLateMs = 150;
@@ -54,8 +54,7 @@
 double PromptScheduler::OpenMs(TimePoint now) const {
   double sum = 0;
   for (const auto& [engine, reading] : work_.readings_) {
-    sum +=
-        static_cast<double>(std::max<int64_t>(0, (reading.until_ - now).Ms()));
+    sum += reading.LeftMs(now);
   }
   return sum;
 }
@@ -246,13 +245,7 @@
                   {},
                   true};
   granted_[queued.key_] = std::move(granted);
-  PromptPlaced placed;
-  placed.operation_ = queued.ask_.operation_;
-  placed.target_ = placement.target_;
-  placed.part_ms_ = static_cast<int64_t>(placement.work_.parts_.front().ms_);
-  placed.wait_ms_ = static_cast<int64_t>(placement.wait_ms_);
-  placed.queued_ms_ = (now - queued.asked_).Ms();
-  replies_.push_back({queued.key_.first, std::move(placed)});
+  SendPlaced(now, queued, placement);
 }
 
 void PromptScheduler::OnStep(TimePoint now, const NodeId& gateway,
@@ -282,14 +275,8 @@
   }
 }
 
-void PromptScheduler::Refuse(const Queued& queued, double wait_ms) {
-  replies_.push_back({queued.key_.first,
-                      PromptRefused{queued.ask_.operation_,
-                                    Duration(static_cast<int64_t>(wait_ms))}});
-}
-
-void PromptScheduler::Grant(TimePoint now, const Queued& queued,
-                            const Placement& placement) {
+void PromptScheduler::SendPlaced(TimePoint now, const Queued& queued,
+                                 const Placement& placement) {
   PromptPlaced placed;
   placed.operation_ = queued.ask_.operation_;
   placed.target_ = placement.target_;
@@ -298,7 +285,18 @@
   placed.part_ms_ = static_cast<int64_t>(placement.work_.parts_.front().ms_);
   placed.wait_ms_ = static_cast<int64_t>(placement.wait_ms_);
   placed.queued_ms_ = (now - queued.asked_).Ms();
-  const Duration predicted(placed.wait_ms_);
+  replies_.push_back({queued.key_.first, std::move(placed)});
+}
+
+void PromptScheduler::Refuse(const Queued& queued, double wait_ms) {
+  replies_.push_back({queued.key_.first,
+                      PromptRefused{queued.ask_.operation_,
+                                    Duration(static_cast<int64_t>(wait_ms))}});
+}
+
+void PromptScheduler::Grant(TimePoint now, const Queued& queued,
+                            const Placement& placement) {
+  const Duration predicted(static_cast<int64_t>(placement.wait_ms_));
   Granted granted{work_.long_.Begin(now, placement.work_),
                   now,
                   now + kGrantMemory,
@@ -309,7 +307,7 @@
   }
   granted_[queued.key_] = std::move(granted);
   StartReading(now, placement);
-  replies_.push_back({queued.key_.first, std::move(placed)});
+  SendPlaced(now, queued, placement);
 }
 
 void PromptScheduler::OnTick(TimePoint now) {
--- a/src/coordination/gateway/prompt_scheduler.h
+++ b/src/coordination/gateway/prompt_scheduler.h
@@ -91,6 +91,8 @@
                           const SlotFlow& flow, size_t ahead);
   double ShortWaitMs(TimePoint now, const Queued& queued, const SlotFlow& flow,
                      size_t ahead) const;
+  void SendPlaced(TimePoint now, const Queued& queued,
+                  const Placement& placement);
   void Refuse(const Queued& queued, double wait_ms);
   void Grant(TimePoint now, const Queued& queued, const Placement& placement);
   double OpenMs(TimePoint now) const;
--- a/src/transport/frame_compression.cc
+++ b/src/transport/frame_compression.cc
@@ -1,6 +1,7 @@
 /** @file frame_compression.cc Deflates and inflates frames. */
 #include "transport/frame_compression.h"
 
+#define ZLIB_CONST  // Input of zlib is const.
 #include <zlib.h>
 
 #include <array>
@@ -37,9 +38,8 @@
   if (inflateInit(&stream) != Z_OK) {
     return std::nullopt;
   }
-  std::string input = packed;
-  stream.next_in = reinterpret_cast<Bytef*>(input.data());
-  stream.avail_in = static_cast<uInt>(input.size());
+  stream.next_in = reinterpret_cast<const Bytef*>(packed.data());
+  stream.avail_in = static_cast<uInt>(packed.size());
   std::string frame;
   std::array<char, kStepBytes> step{};
   int result = Z_OK;
