Write and read messages without a document in between

The bytes are the same as before, so neighbouring versions can talk; the library has no way to write MessagePack without a document, hence own code.

--- a/src/protocol/codec.cc
+++ b/src/protocol/codec.cc
@@ -6,6 +6,7 @@
 
 #include "state/field_codec.h"
 #include "state/json_text.h"
+#include "state/pack_codec.h"
 
 namespace gv {
 namespace {
@@ -13,6 +14,8 @@
 using nlohmann::json;
 
 constexpr size_t kMessageCount = std::variant_size_v<MessageVariant>;
+constexpr size_t kEnvelopeParts = 5;
+constexpr size_t kMessageParts = 2;
 
 /** @return The plain name of a type, cut from the compiler's text for it. */
 template <class T>
@@ -35,6 +38,7 @@
     MakeNames(std::make_index_sequence<kMessageCount>());
 
 using Reader = void (*)(const json&, Message&);
+using Unpacker = void (*)(PackReader&, Message&);
 
 template <size_t I>
 void ReadAlternative(const json& fields, Message& message) {
@@ -50,23 +54,39 @@
 constexpr auto kReaders =
     MakeReaders(std::make_index_sequence<kMessageCount>());
 
-json BodyFields(const Message& message) {
-  return std::visit([](const auto& body) { return ToJsonField(body); },
-                    message);
+template <size_t I>
+void UnpackAlternative(PackReader& in, Message& message) {
+  UnpackField(in, message.emplace<I>());
 }
 
-/** @return The number of a message, checked later. Throws FieldError. */
-size_t ReadIndex(const json& json) {
-  size_t index = 0;
-  FromJsonField(json, index);
-  return index;
+template <size_t... I>
+constexpr std::array<Unpacker, kMessageCount> MakeUnpackers(
+    std::index_sequence<I...>) {
+  return {&UnpackAlternative<I>...};
 }
 
-void ReadBody(size_t index, const json& fields, Message& message) {
+constexpr auto kUnpackers =
+    MakeUnpackers(std::make_index_sequence<kMessageCount>());
+
+void PackBody(const Message& message, PackWriter& out) {
+  out.Unsigned(message.index());
+  std::visit([&out](const auto& body) { PackField(body, out); }, message);
+}
+
+void UnpackBody(PackReader& in, Message& message) {
+  const auto index = UnpackWhole<size_t>(in);
   if (index >= kMessageCount) {
     throw FieldError("unknown message number " + std::to_string(index));
   }
-  kReaders[index](fields, message);
+  kUnpackers[index](in, message);
+  if (!in.IsDone()) {
+    throw FieldError("bytes after the message");
+  }
+}
+
+json BodyFields(const Message& message) {
+  return std::visit([](const auto& body) { return ToJsonField(body); },
+                    message);
 }
 
 size_t IndexOfName(const std::string& name) {
@@ -87,7 +107,7 @@
 }
 
 void ReadHead(const json& parts, Envelope& envelope) {
-  if (!parts.is_array() || parts.size() != 5) {
+  if (!parts.is_array() || parts.size() != kEnvelopeParts) {
     throw FieldError("an envelope has five parts");
   }
   FromJsonField(parts[0], envelope.from_);
@@ -95,12 +115,6 @@
   FromJsonField(parts[2], envelope.hlc_);
 }
 
-std::string ToBytes(const json& value) {
-  std::string bytes;
-  json::to_msgpack(value, bytes);
-  return bytes;
-}
-
 /** Runs a decoder and turns every exception into a verdict. */
 template <class T, class Decode>
 Result<T> Guard(const char* what, Decode decode) {
@@ -118,18 +132,26 @@
 }
 
 std::string EncodeEnvelope(const Envelope& envelope) {
-  json parts = EnvelopeHead(envelope);
-  parts.push_back(envelope.body_.index());
-  parts.push_back(BodyFields(envelope.body_));
-  return ToBytes(parts);
+  PackWriter out;
+  out.Array(kEnvelopeParts);
+  PackField(envelope.from_, out);
+  PackField(envelope.to_, out);
+  PackField(envelope.hlc_, out);
+  PackBody(envelope.body_, out);
+  return out.Take();
 }
 
 Result<Envelope> DecodeEnvelope(std::string_view bytes) {
   return Guard<Envelope>("envelope", [&]() {
-    const json parts = json::from_msgpack(bytes.begin(), bytes.end());
+    PackReader in(bytes);
+    if (in.Array() != kEnvelopeParts) {
+      throw FieldError("an envelope has five parts");
+    }
     Envelope envelope;
-    ReadHead(parts, envelope);
-    ReadBody(ReadIndex(parts[3]), parts[4], envelope.body_);
+    UnpackField(in, envelope.from_);
+    UnpackField(in, envelope.to_);
+    UnpackField(in, envelope.hlc_);
+    UnpackBody(in, envelope.body_);
     return envelope;
   });
 }
@@ -146,27 +168,27 @@
     const json parts = json::parse(text);
     Envelope envelope;
     ReadHead(parts, envelope);
-    ReadBody(IndexOfName(parts[3].get<std::string>()), parts[4],
-             envelope.body_);
+    kReaders[IndexOfName(parts[3].get<std::string>())](parts[4],
+                                                       envelope.body_);
     return envelope;
   });
 }
 
 std::string EncodeMessage(const Message& message) {
-  json parts = json::array();
-  parts.push_back(message.index());
-  parts.push_back(BodyFields(message));
-  return ToBytes(parts);
+  PackWriter out;
+  out.Array(kMessageParts);
+  PackBody(message, out);
+  return out.Take();
 }
 
 Result<Message> DecodeMessage(std::string_view bytes) {
   return Guard<Message>("message", [&]() {
-    const json parts = json::from_msgpack(bytes.begin(), bytes.end());
-    if (!parts.is_array() || parts.size() != 2) {
+    PackReader in(bytes);
+    if (in.Array() != kMessageParts) {
       throw FieldError("a message has two parts");
     }
     Message message;
-    ReadBody(ReadIndex(parts[0]), parts[1], message);
+    UnpackBody(in, message);
     return message;
   });
 }
