--- a/src/state/event_type.h
+++ b/src/state/event_type.h
@@ -64,6 +64,7 @@
   kForwardAbandoned = 617,
   kTargetSuspected = 620,
   kTargetTrusted = 621,
+  kTargetPaused = 625,
   kReservationMade = 622,
   kReservationReleased = 623,
   kReservationRefused = 624,
@@ -71,6 +72,7 @@
   kSettingsReloaded = 631,
   kDependencyLost = 632,
   kDependencyRegained = 633,
+  kInternalError = 634,
 };
 
 /** One event. Only the fields that apply are set. */
--- a/src/state/table/events.h
+++ b/src/state/table/events.h
@@ -19,7 +19,7 @@
   std::string_view meaning_;  ///< For people.
 };
 
-inline constexpr std::array<EventRow, 61> kEvents{{
+inline constexpr std::array<EventRow, 63> kEvents{{
     {EventId::kProcessStarted, "process-started", EventLevel::kInfo,
      "A process started with its roles."},
     {EventId::kProcessStopping, "process-stopping", EventLevel::kInfo,
@@ -128,6 +128,8 @@
      "A target failed requests; it gets fewer for a while."},
     {EventId::kTargetTrusted, "target-trusted", EventLevel::kInfo,
      "A suspected target answered well again."},
+    {EventId::kTargetPaused, "target-paused", EventLevel::kInfo,
+     "A target refused a request and wants no other one for a while."},
     {EventId::kReservationMade, "reservation-made", EventLevel::kInfo,
      "Memory for a long prompt was reserved at a target."},
     {EventId::kReservationReleased, "reservation-released", EventLevel::kInfo,
@@ -142,6 +144,8 @@
      "A gateway lost its lease, its disk or its way to the registry."},
     {EventId::kDependencyRegained, "dependency-regained", EventLevel::kInfo,
      "A gateway has its lease, its disk or its way to the registry again."},
+    {EventId::kInternalError, "internal-error", EventLevel::kError,
+     "Handling one input failed unexpectedly; the process goes on."},
 }};
 
 }  // namespace gv
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -50,13 +50,14 @@
   struct Attempt {
     std::shared_ptr<TargetConnection> connection_;  ///< Where it runs.
     TargetId target_;                               ///< Who.
-    TimePoint progress_;       ///< Last byte, or the start.
-    double predicted_ms_ = 0;  ///< Until the first event.
-    unsigned status_ = 0;      ///< Of the answer, or 0.
-    HttpFields fields_;        ///< Of the answer.
-    AnswerFacts facts_;        ///< Of the answer.
-    std::string body_;         ///< Of an answer that isn't streamed.
-    bool streams_ = false;     ///< It is an event stream to pass on.
+    TimePoint progress_;         ///< Last progress, or the start.
+    size_t unjudged_bytes_ = 0;  ///< Of a whole answer, since progress_.
+    double predicted_ms_ = 0;    ///< Until the first event.
+    unsigned status_ = 0;        ///< Of the answer, or 0.
+    HttpFields fields_;          ///< Of the answer.
+    AnswerFacts facts_;          ///< Of the answer.
+    std::string body_;           ///< Of an answer that isn't streamed.
+    bool streams_ = false;       ///< It is an event stream to pass on.
   };
 
   // forward.cc: admission and ends.
@@ -76,11 +77,14 @@
   void TryTarget();
   bool MayBeInTime(const Placement& placement) const;
   void SendTo(const Placement& placement);
+  void PlaceElsewhere(const TargetId& target);
   std::string BuildRequest(const Placement& placement) const;
   std::vector<std::string> HelperList(const Placement& placement) const;
   ExchangeHandler MakeHandler();
   void OnHead(unsigned status, const HttpFields& fields);
   void OnBody(const std::string& data);
+  void OnWholeBody(const std::string& data);
+  bool IsAnswerTo() const;
   void OnExchangeEnd(ExchangeEnd end);
   void CloseAttempt();
   void OnAttemptFailed(const AttemptEnd& end, HealthOutcome health,
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -34,6 +34,9 @@
 /** Work that waits now is done after about its wait; twice that leaves room for
  * what else arrives. */
 constexpr int64_t kWaitsUntilRetry = 2;
+/** A whole answer makes progress with every so many bytes; fewer may be a
+ * target that hangs but sends a byte now and then. */
+constexpr size_t kProgressBytes = 256;
 constexpr Duration kLeastRetry = 2_s;
 /** Callers follow at most a third of the time that they have left. */
 constexpr Duration kMostRetry = 3_s;
@@ -118,12 +121,12 @@
 
 void Forward::SendTo(const Placement& placement) {
   const TimePoint now = gateway_.Now();
-  const DirectoryEntry* entry =
-      gateway_.Registry().Targets().Find(placement.target_);
-  if (entry == nullptr) {
-    FinishWithout(AttemptEnd{RunState::kNotRun, false}, "no-target");
+  if (!gateway_.MaySendTo(placement.target_)) {
+    PlaceElsewhere(placement.target_);
     return;
   }
+  const DirectoryEntry* entry =
+      gateway_.Registry().Targets().Find(placement.target_);
   const bool once = !IsRepeatable(route_.kind_, route_.resumable_);
   Attempt attempt;
   attempt.connection_ = gateway_.Pool().Acquire(now, entry->target_.address_,
@@ -151,6 +154,19 @@
                                MakeHandler());
 }
 
+void Forward::PlaceElsewhere(const TargetId& target) {
+  // It left, or asked for a pause, after it was chosen. The leader is not asked
+  // again: it may not know yet.
+  Log(EventId::kForwardRetried,
+      "reason=target-not-ready chosen=" + target.Value() +
+          " sent=" + std::to_string(sent_));
+  tried_.push_back(target);
+  LeaveLeader();
+  ReleaseTickets();
+  asked_leader_ = true;
+  TryTarget();
+}
+
 std::string Forward::BuildRequest(const Placement& placement) const {
   HttpFields fields = request_.base();
   RemoveHopHeaders(fields);
@@ -190,7 +206,7 @@
   std::vector<std::string> list;
   for (const TargetId& helper : placement.helpers_) {
     const DirectoryEntry* entry = gateway_.Registry().Targets().Find(helper);
-    if (entry == nullptr) {
+    if (entry == nullptr || !gateway_.MaySendTo(helper)) {
       continue;
     }
     std::string text = entry->target_.address_;
@@ -228,27 +244,56 @@
   attempt_->fields_ = fields;
   attempt_->facts_ = gateway_.Codec().read_answer_(status, fields);
   attempt_->progress_ = gateway_.Now();
+  gateway_.OnAnswerFacts(attempt_->target_, attempt_->facts_);
   attempt_->streams_ =
       IsOwnAnswer() && status >= kSuccess && status < kRedirect &&
       route_.kind_ == RouteKind::kStream && attempt_->facts_.is_event_stream_;
 }
 
+bool Forward::IsAnswerTo() const {
+  // On a connection in use again an answer may be a late second one to an
+  // earlier request, so it must name the request that it answers.
+  const std::string& attempt = attempt_->facts_.attempt_;
+  const bool may_be_unnamed = !attempt_->connection_->IsReused();
+  return attempt == facts_.attempt_ || (attempt.empty() && may_be_unnamed);
+}
+
 bool Forward::IsOwnAnswer() const {
   const AnswerFacts& facts = attempt_->facts_;
-  const bool same = facts.attempt_.empty() || facts.attempt_ == facts_.attempt_;
-  return facts.has_signature_ && !facts.is_encoded_ && same;
+  return facts.has_signature_ && !facts.is_encoded_ && IsAnswerTo();
 }
 
 void Forward::OnBody(const std::string& data) {
   if (ended_ || !attempt_) {
     return;
   }
-  attempt_->progress_ = gateway_.Now();
-  if (attempt_->streams_) {
-    PassEvents(data);
+  if (!attempt_->streams_) {
+    OnWholeBody(data);
+    return;
+  }
+  const uint64_t before = events_.Progress();
+  PassEvents(data);
+  if (ended_ || !attempt_) {
     return;
   }
+  if (events_.Progress() != before) {
+    attempt_->progress_ = gateway_.Now();
+  } else if (events_.HeldBytes() > gateway_.MostEventBytes()) {
+    AbandonAttempt("event-too-long");
+  }
+}
+
+void Forward::OnWholeBody(const std::string& data) {
   attempt_->body_ += data;
+  if (attempt_->body_.size() > gateway_.MostAnswerBytes()) {
+    AbandonAttempt("answer-too-long");
+    return;
+  }
+  attempt_->unjudged_bytes_ += data.size();
+  if (attempt_->unjudged_bytes_ >= kProgressBytes) {
+    attempt_->unjudged_bytes_ = 0;
+    attempt_->progress_ = gateway_.Now();
+  }
 }
 
 void Forward::OnExchangeEnd(ExchangeEnd end) {
@@ -276,8 +321,7 @@
 void Forward::CloseAttempt() {
   const AnswerFacts& facts = attempt_->facts_;
   const unsigned status = attempt_->status_;
-  const bool same = facts.attempt_.empty() || facts.attempt_ == facts_.attempt_;
-  if (!same || (status < kRedirect && !IsOwnAnswer())) {
+  if (!IsAnswerTo() || (status < kRedirect && !IsOwnAnswer())) {
     attempt_->connection_->Cancel();
     OnAttemptFailed(AttemptEnd{RunState::kMayHaveRun, false},
                     HealthOutcome::kError, "not-its-answer");
--- a/src/transport/gateway/gateway.cc
+++ b/src/transport/gateway/gateway.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 #include <xxhash.h>
 
+#include <algorithm>
 #include <boost/outcome/try.hpp>
 #include <csignal>
 #include <iostream>
@@ -142,10 +143,12 @@
         if (error == asio::error::operation_aborted || !acceptor_.is_open()) {
           return;
         }
+        // First, as an error while this caller is set up must not end the
+        // accepting.
+        AcceptCallers();
         if (!error) {
           OnCaller(std::move(socket));
         }
-        AcceptCallers();
       });
 }
 
@@ -184,8 +187,8 @@
   tick_.expires_after(kTickPeriod);
   tick_.async_wait([this](boost::system::error_code error) {
     if (!error) {
-      OnTick();
       ScheduleTick();
+      OnTick();
     }
   });
 }
@@ -255,6 +258,7 @@
     if (error) {
       return;
     }
+    WaitForSignals();
     if (number == SIGHUP) {
       const auto read = LoadProcessSettings(settings_file_);
       Record(EventId::kSettingsReloaded,
@@ -263,7 +267,6 @@
     } else {
       BeginStop();
     }
-    WaitForSignals();
   });
 }
 
@@ -282,13 +285,20 @@
   return !stopping_ || Now() - stop_begun_ < kTakeOn;
 }
 
+bool Gateway::HasOpenAnswers() const {
+  return !forwards_.empty() ||
+         std::any_of(callers_.begin(), callers_.end(), [](const auto& item) {
+           return item.second->IsBusy() || item.second->Unsent() > 0;
+         });
+}
+
 void Gateway::CheckStop(TimePoint now) {
   if (!stopping_) {
     return;
   }
   const Duration spent = now - stop_begun_;
   const Duration grace(settings_.gateway_grace_ms_);
-  const bool quiet = spent > kAnnounce && forwards_.empty();
+  const bool quiet = spent > kAnnounce && !HasOpenAnswers();
   if (quiet || spent > grace - kStopMargin) {
     Record(EventId::kProcessStopped,
            "requests=" + std::to_string(forwards_.size()) +
@@ -298,6 +308,19 @@
   }
 }
 
+void Gateway::RunEvents() {
+  // An error ends the handling of one input only; requests that it concerned
+  // end at their limits.
+  for (;;) {
+    try {
+      io_.run();
+      return;
+    } catch (const std::exception& error) {
+      Record(EventId::kInternalError, error.what());
+    }
+  }
+}
+
 void Gateway::Run() {
   Record(EventId::kProcessStarted,
          "roles=gateway self=" + self_.Value() +
@@ -306,7 +329,7 @@
   log_.Flush(Now());
   WaitForSignals();
   ScheduleTick();
-  io_.run();
+  RunEvents();
   pool_.Close();
   peers_->Close();
   disk_.reset();
--- a/src/transport/gateway/gateway_calls.cc
+++ b/src/transport/gateway/gateway_calls.cc
@@ -188,6 +188,27 @@
       .Observe(static_cast<double>(time.Ms()));
 }
 
+void Gateway::OnAnswerFacts(const TargetId& target, const AnswerFacts& facts) {
+  if (facts.is_leaving_) {
+    Outbox out(Endpoint{self_, Port::kControl});
+    registry_.NoteLeaving(target, out);
+    CarryOut(out);
+  }
+  if (facts.pause_) {
+    health_.OnPause(Now(), target, *facts.pause_);
+    Event event;
+    event.id_ = EventId::kTargetPaused;
+    event.target_ = target;
+    event.detail_ = "pause_ms=" + std::to_string(facts.pause_->Ms());
+    Record(event);
+  }
+}
+
+bool Gateway::MaySendTo(const TargetId& target) const {
+  return registry_.Targets().IsReady(target) &&
+         !health_.IsPaused(Now(), target);
+}
+
 void Gateway::OnOutcome(const TargetId& target, HealthOutcome outcome) {
   if (!health_.OnOutcome(Now(), target, outcome)) {
     return;
--- a/src/transport/gateway/target_connection.cc
+++ b/src/transport/gateway/target_connection.cc
@@ -12,6 +12,8 @@
 namespace http = boost::beast::http;
 
 constexpr uint32_t kMostHeaderBytes = 64U << 10;
+/** Heads of 1xx before the answer; a sound target sends one or two. */
+constexpr int kMostInterimHeads = 8;
 constexpr unsigned kInformational = 100;
 constexpr unsigned kSuccess = 200;
 
@@ -47,6 +49,7 @@
           return;
         }
         self->socket_.set_option(asio::ip::tcp::no_delay(true), error);
+        self->socket_.non_blocking(true, error);
         self->connected_ = true;
         self->Read();
         self->Write();
@@ -58,6 +61,7 @@
   handler_ = std::move(handler);
   request_ = std::move(request);
   is_head_ = is_head;
+  interim_heads_ = 0;
   ResetParser();
   if (closed_) {
     asio::post(socket_.get_executor(), [self = shared_from_this()]() {
@@ -77,10 +81,23 @@
   head_passed_ = false;
 }
 
+void TargetConnection::Break() {
+  Finish(ExchangeEnd::kBroken);
+  Close();
+}
+
 void TargetConnection::Write() {
   if (!connected_ || closed_ || request_.empty() || writing_) {
     return;
   }
+  boost::system::error_code failed;
+  const size_t written = socket_.write_some(asio::buffer(request_), failed);
+  if (!failed) {
+    request_.erase(0, written);
+  }
+  if (request_.empty()) {
+    return;
+  }
   writing_ = true;
   asio::async_write(
       socket_, asio::buffer(request_),
@@ -129,14 +146,21 @@
     boost::system::error_code error;
     const size_t used = parser_->put(asio::buffer(input_), error);
     input_.erase(0, used);
-    if (error && error != http::error::need_more) {
-      Finish(ExchangeEnd::kBroken);
-      Close();
+    // The parser wants the whole of a header, chunk head or trailer at once,
+    // and bounds the first only.
+    const bool is_endless =
+        error == http::error::need_more && input_.size() > kMostHeaderBytes;
+    if (is_endless || (error && error != http::error::need_more)) {
+      Break();
       return false;
     }
     if (parser_->is_header_done()) {
       const unsigned status = parser_->get().result_int();
       if (status < kSuccess && status >= kInformational) {
+        if (++interim_heads_ > kMostInterimHeads) {
+          Break();
+          return false;
+        }
         ResetParser();
         continue;
       }
--- a/src/transport/gateway/target_connection.h
+++ b/src/transport/gateway/target_connection.h
@@ -78,6 +78,7 @@
   void PassBody();
   void Complete();
   void Finish(ExchangeEnd end);
+  void Break();
   void Close();
 
   boost::asio::ip::tcp::socket socket_;               ///< The connection.
@@ -90,6 +91,7 @@
   std::array<char, 8192> chunk_{};                    ///< Of one read.
   TimePoint opened_;          ///< Start of the connecting.
   uint64_t answered_ = 0;     ///< Complete exchanges.
+  int interim_heads_ = 0;     ///< Heads of 1xx before this answer.
   bool connected_ = false;    ///< Ready to send.
   bool writing_ = false;      ///< A write is in progress.
   bool reading_ = false;      ///< A read is in progress.
--- a/src/transport/gateway/wire_codec.h
+++ b/src/transport/gateway/wire_codec.h
@@ -44,6 +44,8 @@
   bool is_event_stream_ = false;        ///< The body is a series of events.
   std::string attempt_;                 ///< Which request it answers.
   std::optional<Duration> keep_alive_;  ///< How long it keeps idle connections.
+  bool is_leaving_ = false;             ///< The target takes no new work.
+  std::optional<Duration> pause_;       ///< It wants no request for so long.
 };
 
 /** Calls that targets and operators make. */
--- a/tests/platform/gateway_rig.cc
+++ b/tests/platform/gateway_rig.cc
@@ -7,6 +7,7 @@
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <csignal>
 #include <fstream>
 #include <sstream>
 
@@ -70,7 +71,7 @@
 
 }  // namespace
 
-GatewayRig::GatewayRig(const std::string& configuration)
+GatewayRig::GatewayRig(const std::string& configuration, const WireCodec* codec)
     : folder_(std::filesystem::temp_directory_path() /
               ("gv_gateway_" + std::to_string(getpid()))),
       first_port_(FindPorts()) {
@@ -91,8 +92,9 @@
   REQUIRE_MESSAGE(settings.has_value(),
                   (settings ? "" : settings.error().detail_));
   const int log = open((folder + "/log").c_str(), O_CREAT | O_WRONLY, 0600);
-  gateway_ = std::make_unique<Gateway>(settings.value(), "gateway.yaml",
-                                       platform::Codec(), log);
+  gateway_ = std::make_unique<Gateway>(
+      settings.value(), "gateway.yaml",
+      codec != nullptr ? *codec : platform::Codec(), log);
   const auto opened = gateway_->Open();
   REQUIRE_MESSAGE(opened.has_value(), (opened ? "" : opened.error().detail_));
   runner_ = std::thread([this]() { gateway_->Run(); });
@@ -112,13 +114,22 @@
 }
 
 GatewayRig::~GatewayRig() {
-  gateway_->Halt();
-  runner_.join();
-  gateway_.reset();
+  if (gateway_) {
+    gateway_->Halt();
+    runner_.join();
+    gateway_.reset();
+  }
   std::error_code ignored;
   std::filesystem::remove_all(folder_, ignored);
 }
 
+void GatewayRig::BeginStop() { static_cast<void>(std::raise(SIGTERM)); }
+
+void GatewayRig::AwaitStop() {
+  runner_.join();
+  gateway_.reset();
+}
+
 void GatewayRig::Register(const std::string& id, const std::string& service,
                           const std::string& address,
                           const std::string& state) {
--- a/tests/platform/gateway_rig.h
+++ b/tests/platform/gateway_rig.h
@@ -17,8 +17,10 @@
 /** A gateway of its own cluster. Thread safety: one test thread. */
 class GatewayRig {
  public:
-  /** Starts the gateway and installs @p configuration. */
-  explicit GatewayRig(const std::string& configuration);
+  /** Starts the gateway and installs @p configuration. @param codec Outlives
+   * the rig; that of the platform if it is null. */
+  explicit GatewayRig(const std::string& configuration,
+                      const WireCodec* codec = nullptr);
   ~GatewayRig();
   GatewayRig(const GatewayRig&) = delete;
   GatewayRig& operator=(const GatewayRig&) = delete;
@@ -36,6 +38,10 @@
   /** @return All log lines so far. */
   std::string Log() const;
   Gateway& Get() { return *gateway_; }
+  /** Begins a planned stop of all gateways of this process. */
+  static void BeginStop();
+  /** Waits for the end of a planned stop and closes all that is left. */
+  void AwaitStop();
 
  private:
   std::filesystem::path folder_;      ///< Key, data and log.
--- a/tests/platform/scripted_target.cc
+++ b/tests/platform/scripted_target.cc
@@ -30,9 +30,10 @@
   return ValueIn(head_, name);
 }
 
-void TargetLine::Send(const std::string& bytes) {
-  error_code ignored;
-  asio::write(socket_, asio::buffer(bytes), ignored);
+bool TargetLine::Send(const std::string& bytes) {
+  error_code error;
+  asio::write(socket_, asio::buffer(bytes), error);
+  return !error;
 }
 
 void TargetLine::BeginEvents(const TargetRequest& request) {
--- a/tests/platform/scripted_target.h
+++ b/tests/platform/scripted_target.h
@@ -27,8 +27,8 @@
 class TargetLine {
  public:
   explicit TargetLine(boost::asio::ip::tcp::socket& socket) : socket_(socket) {}
-  /** Sends bytes as they are. */
-  void Send(const std::string& bytes);
+  /** Sends bytes as they are. @return False if the peer has closed. */
+  bool Send(const std::string& bytes);
   /** Begins an event stream without a length. */
   void BeginEvents(const TargetRequest& request);
   /** Sends one event with an id. @param data Its line, or "e" and the id. */
