Keep rows of engines at the leader instead of scanning the directory for each prompt

Cause: each placement walked the whole directory, hashed ids, looked eight strings up for each engine, copied and sorted; each queued long prompt did so again on every step.

--- a/src/coordination/gateway/load_ledger.cc
+++ b/src/coordination/gateway/load_ledger.cc
@@ -121,16 +121,23 @@
   work_.erase(found);
 }
 
-void LoadLedger::SettleOverdue(TimePoint now) {
+const PlacedWork* LoadLedger::Find(WorkId id) const {
+  const auto found = work_.find(id);
+  return found == work_.end() ? nullptr : &found->second.work_;
+}
+
+bool LoadLedger::SettleOverdue(TimePoint now) {
   std::vector<WorkId> overdue;
-  for (const auto& [id, open] : work_) {
+  for (auto& [id, open] : work_) {
     if (now >= open.settle_) {
+      open.settle_ = TimePoint::Never();
       overdue.push_back(id);
     }
   }
   for (const WorkId id : overdue) {
     FirstEvent(id);
   }
+  return !overdue.empty();
 }
 
 void LoadLedger::SetRemote(TimePoint now, const NodeId& gateway,
--- a/src/coordination/gateway/load_ledger.h
+++ b/src/coordination/gateway/load_ledger.h
@@ -60,8 +60,12 @@
   void End(WorkId id);
 
   /** Counts prefill as done that is far beyond its prediction: its engine is
-   * held up by something else, and would seem busy for ever. */
-  void SettleOverdue(TimePoint now);
+   * held up by something else, and would seem busy for ever.
+   * @return True if there was such work. */
+  bool SettleOverdue(TimePoint now);
+
+  /** @return A request in progress, or nullptr. */
+  const PlacedWork* Find(WorkId id) const;
 
   /** Replaces what another gateway reported. A sum of the leader replaces all
    * reports, and a report the sums of others. */
--- a/src/coordination/gateway/placement.h
+++ b/src/coordination/gateway/placement.h
@@ -29,12 +29,22 @@
 };
 using EngineReadings = std::unordered_map<TargetId, EngineReading>;
 
+/** Changed engines that are noted one by one; beyond that all are counted. */
+inline constexpr size_t kMostTouched = 4096;
+
 /** Work that the leader placed itself, and therefore knows without delay. */
 struct GrantedWork {
-  LoadLedger long_;          ///< Long prompts.
-  LoadLedger short_;         ///< Short prompts.
-  EngineReadings readings_;  ///< Parts of long prompts, by engine.
-  double short_rate_ = 0;    ///< Short prompts that come in a second.
+  LoadLedger long_;                ///< Long prompts.
+  LoadLedger short_;               ///< Short prompts.
+  EngineReadings readings_;        ///< Parts of long prompts, by engine.
+  double short_rate_ = 0;          ///< Short prompts that come in a second.
+  std::vector<TargetId> touched_;  ///< Whose work has changed in this epoch.
+  uint64_t epoch_ = 0;             ///< Grows when all work may have changed.
+
+  /** Says that the work of these engines has changed. */
+  void Touch(const PlacedWork& work);
+  /** Says that the work of any engine may have changed. */
+  void TouchAll();
 };
 
 /** What is to be placed. */
@@ -106,7 +116,8 @@
                                          const GrantedWork& granted) const;
 
   /** @return How fast slots become free for prompts like @p request. */
-  SlotFlow FlowOf(TimePoint now, const PlacementRequest& request) const;
+  SlotFlow FlowOf(TimePoint now, const PlacementRequest& request,
+                  const GrantedWork& granted) const;
 
   /** @return Engines that read long prompts, at least 1. */
   size_t ReaderCount(TimePoint now, const PlacementRequest& request,
@@ -131,11 +142,59 @@
     double penalty_ms_ = 0;      ///< For distance, warm-up and failures.
     int64_t short_streams_ = 0;  ///< That reading of long prompts disturbs.
     bool on_trial_ = false;      ///< Failed lately; gets one request at a time.
+    double reading_ms_ = 0;      ///< Parts of long prompts not yet read.
+    int64_t open_parts_ = 0;     ///< Of prompts without a first event.
+  };
+  /** An engine and all work that the leader knows of there. */
+  struct EngineRow {
+    Candidate candidate_;    ///< Without its load.
+    TargetLoad others_;      ///< Work that the leader did not place.
+    TargetLoad long_;        ///< Long prompts that it placed.
+    TargetLoad short_;       ///< Short prompts that it placed.
+    EngineReading reading_;  ///< Parts of long prompts.
+    /** @return The sum of all. */
+    TargetLoad AllLoad(TimePoint now) const {
+      return TargetLoad{
+          others_.requests_ + long_.requests_ + short_.requests_,
+          others_.prefill_ms_ + short_.prefill_ms_ + reading_.LeftMs(now),
+          others_.tokens_ + long_.tokens_ + short_.tokens_};
+    }
+  };
+  /** Rows of the engines of one service, kept from one placement to the next.
+   */
+  struct EngineTable {
+    /** What the rows were made from. */
+    struct Stamp {
+      uint64_t directory_ = 0;  ///< Changes of the directory.
+      uint64_t health_ = 0;     ///< Changes of the health.
+      uint64_t epoch_ = 0;      ///< Of the granted work.
+      friend bool operator==(const Stamp&, const Stamp&) = default;
+    };
+    std::vector<EngineRow> rows_;                  ///< In the shared order.
+    std::unordered_map<TargetId, size_t> places_;  ///< Of rows_.
+    Stamp stamp_;                  ///< When all rows were counted.
+    size_t applied_ = 0;           ///< Of the touched engines.
+    TimePoint counted_{-1000000};  ///< When all rows were counted.
+  };
+  /** Ready targets of one service. */
+  struct ReadyTargets {
+    uint64_t changes_ = UINT64_MAX;               ///< Of the directory.
+    std::vector<const DirectoryEntry*> entries_;  ///< In the order of ids.
   };
 
   static void SortByOrder(std::vector<Candidate>& candidates);
   std::vector<Candidate> Candidates(TimePoint now,
                                     const PlacementRequest& request) const;
+  const std::vector<const DirectoryEntry*>& ReadyOf(
+      const std::string& service) const;
+  bool Judge(TimePoint now, const DirectoryEntry& entry,
+             Candidate& candidate) const;
+  static bool IsTried(const PlacementRequest& request, const TargetId& id);
+  void Count(const GrantedWork& granted, EngineRow& row) const;
+  const std::vector<EngineRow>& Rows(TimePoint now, const Service& service,
+                                     const GrantedWork& granted) const;
+  static std::vector<const EngineRow*> Untried(
+      const std::vector<EngineRow>& rows, const PlacementRequest& request);
   Placement PlaceCall(std::vector<Candidate>& candidates) const;
   Placement PlacePrompt(TimePoint now, const PlacementRequest& request,
                         std::vector<Candidate>& candidates) const;
@@ -146,11 +205,9 @@
                                size_t border) const;
   Placement PlaceLong(const PlacementRequest& request,
                       std::vector<Candidate> zone) const;
-  void AddGranted(TimePoint now, const GrantedWork& granted,
-                  Candidate& candidate) const;
-  std::vector<Candidate> LongZone(TimePoint now,
-                                  const PlacementRequest& request,
-                                  double short_rate) const;
+  std::vector<const EngineRow*> LongZone(TimePoint now,
+                                         const PlacementRequest& request,
+                                         const GrantedWork& granted) const;
   static void LeaveShortStreams(std::vector<Candidate>& zone);
   static Placement JoinReaders(const PlacementRequest& request,
                                const Candidate& owner,
@@ -169,11 +226,13 @@
                       const std::vector<Candidate>& helpers,
                       Placement& placement);
 
-  NodeId self_;                       ///< This gateway.
-  DataCentreId own_;                  ///< Of this gateway.
-  const TargetDirectory& directory_;  ///< Targets.
-  const LoadLedger& ledger_;          ///< Their work.
-  const TargetHealth& health_;        ///< Their failures.
+  NodeId self_;                                        ///< This gateway.
+  DataCentreId own_;                                   ///< Of this gateway.
+  const TargetDirectory& directory_;                   ///< Targets.
+  const LoadLedger& ledger_;                           ///< Their work.
+  const TargetHealth& health_;                         ///< Their failures.
+  mutable std::map<std::string, ReadyTargets> ready_;  ///< By service.
+  mutable std::map<std::string, EngineTable> tables_;  ///< By service.
 };
 
 }  // namespace gv
--- a/src/coordination/gateway/prompt_scheduler.cc
+++ b/src/coordination/gateway/prompt_scheduler.cc
@@ -66,11 +66,13 @@
                      Duration(static_cast<int64_t>(part.ms_ * kPartSlack));
     ++reading.open_;
   }
+  work_.Touch(placement.work_);
 }
 
 void PromptScheduler::FinishReading(Granted& granted) {
   for (const TargetId& reader : granted.readers_) {
     --work_.readings_[reader].open_;
+    work_.touched_.push_back(reader);
   }
   granted.readers_.clear();
 }
@@ -97,11 +99,15 @@
 }
 
 void PromptScheduler::RefuseHopeless(TimePoint now) {
+  if (queue_.empty()) {
+    return;
+  }
   double ahead_ms = OpenMs(now);
+  // The same for all but for the targets that each has tried.
+  const auto readers = static_cast<double>(
+      placer_.ReaderCount(now, RequestOf(queue_.front()), work_));
   for (size_t i = 0; i < queue_.size();) {
     const Queued& queued = queue_[i];
-    const auto readers =
-        static_cast<double>(placer_.ReaderCount(now, RequestOf(queued), work_));
     const double wait_ms = WaitMs(ahead_ms, queued.prefill_ms_, readers);
     const auto left = static_cast<double>((queued.due_ - now).Ms());
     if (wait_ms <= left + (queued.asked_ == now ? 0 : kLateMs)) {
@@ -144,7 +150,7 @@
   queued.has_returned_ = queued.due_ > queued.rank_;
   queued.rank_ = queued.due_;
   Insert(queue_, std::move(queued));
-  OnTick(now);
+  PlaceLongs(now);
 }
 
 void PromptScheduler::Insert(std::vector<Queued>& queue, Queued queued) {
@@ -176,8 +182,9 @@
       return;
     }
   }
-  const double wait_ms = ShortWaitMs(
-      now, queued, placer_.FlowOf(now, RequestOf(queued)), short_queue_.size());
+  const double wait_ms =
+      ShortWaitMs(now, queued, placer_.FlowOf(now, RequestOf(queued), work_),
+                  short_queue_.size());
   if (wait_ms > static_cast<double>((queued.due_ - now).Ms())) {
     Refuse(queued, wait_ms);
     return;
@@ -204,7 +211,8 @@
   if (short_queue_.empty()) {
     return;
   }
-  const SlotFlow flow = placer_.FlowOf(now, RequestOf(short_queue_.front()));
+  const SlotFlow flow =
+      placer_.FlowOf(now, RequestOf(short_queue_.front()), work_);
   while (!short_queue_.empty()) {
     const auto in_time = std::find_if(
         short_queue_.begin(), short_queue_.end(), [&](const Queued& queued) {
@@ -245,6 +253,7 @@
                   {},
                   true};
   granted_[queued.key_] = std::move(granted);
+  work_.Touch(placement.work_);
   SendPlaced(now, queued, placement);
 }
 
@@ -263,6 +272,9 @@
   FinishReading(found->second);
   const bool is_short = found->second.is_short_;
   LoadLedger& ledger = LedgerOf(found->second);
+  if (const PlacedWork* work = ledger.Find(found->second.work_)) {
+    work_.Touch(*work);
+  }
   if (step.ended_) {
     ledger.End(found->second.work_);
     granted_.erase(found);
@@ -271,7 +283,7 @@
   }
   PlaceShorts(now);
   if (!is_short) {
-    OnTick(now);
+    PlaceLongs(now);
   }
 }
 
@@ -311,8 +323,11 @@
 }
 
 void PromptScheduler::OnTick(TimePoint now) {
-  work_.long_.SettleOverdue(now);
-  work_.short_.SettleOverdue(now);
+  const bool settled_long = work_.long_.SettleOverdue(now);
+  const bool settled_short = work_.short_.SettleOverdue(now);
+  if (settled_long || settled_short) {
+    work_.TouchAll();
+  }
   for (auto it = granted_.begin(); it != granted_.end();) {
     if (now >= it->second.overdue_) {
       FinishReading(it->second);
@@ -323,11 +338,16 @@
     }
     LedgerOf(it->second).End(it->second.work_);
     it = granted_.erase(it);
+    work_.TouchAll();
   }
   std::erase_if(work_.readings_, [now](const auto& item) {
     return item.second.until_ <= now && item.second.open_ <= 0;
   });
   PlaceShorts(now);
+  PlaceLongs(now);
+}
+
+void PromptScheduler::PlaceLongs(TimePoint now) {
   for (size_t i = 0; i < queue_.size();) {
     const Queued& queued = queue_[i];
     const std::optional<Placement> placement =
@@ -354,6 +374,7 @@
     FinishReading(it->second);
     LedgerOf(it->second).End(it->second.work_);
     it = granted_.erase(it);
+    work_.TouchAll();
   }
 }
 
--- a/src/coordination/gateway/prompt_scheduler.h
+++ b/src/coordination/gateway/prompt_scheduler.h
@@ -82,6 +82,7 @@
   void CountShort(TimePoint now);
   void AskShort(TimePoint now, Queued queued);
   void PlaceShorts(TimePoint now);
+  void PlaceLongs(TimePoint now);
   void GrantShort(TimePoint now, const Queued& queued,
                   const Placement& placement);
   static double WaitMs(double ahead_ms, double prefill_ms, double readers);
--- a/src/coordination/gateway/target_directory.cc
+++ b/src/coordination/gateway/target_directory.cc
@@ -23,6 +23,7 @@
 }
 
 void TargetDirectory::ToggleDigest(const DirectoryEntry& entry) {
+  ++changes_;
   const TargetRegistration& target = entry.target_;
   if (target.state_ == RegistrationState::kGone) {
     return;
--- a/src/coordination/gateway/target_directory.h
+++ b/src/coordination/gateway/target_directory.h
@@ -75,6 +75,8 @@
   bool IsReady(const TargetId& id) const;
   /** @return All rows. */
   const std::map<TargetId, DirectoryEntry>& All() const { return entries_; }
+  /** @return A number that grows with every change of a row but its age. */
+  uint64_t Changes() const { return changes_; }
   /** Parts in which two tables are compared. */
   static constexpr size_t kParts = 64;
   /** @return Hash of the ids, starts and states of all that are not gone; equal
@@ -107,6 +109,7 @@
   std::map<std::string, TargetId> by_address_;  ///< Latest start there.
   TimePoint newest_heard_;                      ///< Of all registrations.
   std::array<uint64_t, kParts> digests_{};      ///< Of each part.
+  uint64_t changes_ = 0;                        ///< For Changes().
 };
 
 }  // namespace gv
--- a/src/coordination/gateway/target_health.cc
+++ b/src/coordination/gateway/target_health.cc
@@ -10,6 +10,8 @@
 constexpr double kNewestWeight = 0.12;
 /** Above the share of errors that a sound service may have. */
 constexpr double kSuspectRate = 0.45;
+/** A failure rate below this makes no difference. */
+constexpr double kSoundRate = 0.01;
 /** First pause; about the time in which a crashed target is replaced or
  * drops out of the directory is reached after a few doublings. */
 constexpr Duration kFirstPause = 400_ms;
@@ -39,6 +41,7 @@
   State& state = states_[target];
   const bool before = state.suspected_;
   const bool good = outcome == HealthOutcome::kGood;
+  changes_ += !good || before || state.failure_rate_ > kSoundRate ? 1 : 0;
   state.failure_rate_ =
       state.failure_rate_ * (1 - kNewestWeight) + (good ? 0 : kNewestWeight);
   state.unreachable_ =
@@ -70,6 +73,7 @@
 
 void TargetHealth::OnPause(TimePoint now, const TargetId& target,
                            Duration pause) {
+  ++changes_;
   State& state = states_[target];
   state.paused_until_ =
       std::max(state.paused_until_, now + std::min(pause, kLongestAskedPause));
--- a/src/coordination/gateway/target_health.h
+++ b/src/coordination/gateway/target_health.h
@@ -44,6 +44,9 @@
   bool IsOnTrial(TimePoint now, const TargetId& target) const;
   /** @return Part of the requests that fail lately, from 0 to 1. */
   double FailureRate(const TargetId& target) const;
+  /** @return A number that grows when an outcome changes what is said here;
+   * pauses end without it. */
+  uint64_t Changes() const { return changes_; }
   /** Forgets a target. */
   void Forget(const TargetId& target) { states_.erase(target); }
 
@@ -63,6 +66,7 @@
   void Suspect(TimePoint now, State& state) const;
 
   std::unordered_map<TargetId, State> states_;  ///< By target.
+  uint64_t changes_ = 0;                        ///< For Changes().
 };
 
 }  // namespace gv
