--- a/src/transport/gateway/gateway_calls.cc
+++ b/src/transport/gateway/gateway_calls.cc
@@ -95,7 +95,8 @@
 
 void Gateway::OnPutConfiguration(const HttpRequest& request,
                                  HttpService::Respond done) {
-  auto configuration = codec_.decode_configuration_(request.body(), known_routes_);
+  auto configuration =
+      codec_.decode_configuration_(request.body(), known_routes_);
   Event event;
   event.id_ = EventId::kConfigurationRefused;
   if (!configuration.has_value()) {
--- a/src/transport/gateway/gateway_registry.cc
+++ b/src/transport/gateway/gateway_registry.cc
@@ -138,7 +138,8 @@
     return;
   }
   table_version_ = served.Version();
-  auto configuration = codec_.decode_configuration_(served.Text(), known_routes_);
+  auto configuration =
+      codec_.decode_configuration_(served.Text(), known_routes_);
   if (!configuration.has_value()) {
     Record(EventId::kBadInput, configuration.error().detail_);
     return;
