Let requests wait for the lease by what is known of its return

Cause: a gateway without a lease made calls and short prompts wait 60 ms at most, then refused them with Retry-After 1 s. Change: a pure decision (lease_wait.h) from the time since members answer, their silence, the leader they name, the election timeouts and the caller's time left; held memory is bounded; a request that cannot be served in time is refused at once with the expected time of the lease as Retry-After.

--- a/src/coordination/gateway/attempt_policy.h
+++ b/src/coordination/gateway/attempt_policy.h
@@ -38,18 +38,6 @@
   kTruncateAnswer,  ///< The partly delivered answer stays incomplete.
 };
 
-/**
- * Limits the wait of a request for its gateway's lease, so that it can still be
- * served within its objective. An election takes about a second, e.g. when all
- * gateways restart at once: long prompts can wait for it, other requests
- * cannot.
- * @param prompt_tokens Length of the prompt; zero for calls of services.
- * @param objective Objective of the route, or zero if no configuration is
- * known.
- * @return The longest wait. Thread safety: pure.
- */
-Duration MaxLeaseWait(int64_t prompt_tokens, Duration objective);
-
 /** @return True if requests of this kind may run more than once: safe ones and
  * resumable streams. Thread safety: pure. */
 bool IsRepeatable(RouteKind kind, bool resumable);
--- a/src/coordination/gateway/registry_core.cc
+++ b/src/coordination/gateway/registry_core.cc
@@ -17,6 +17,9 @@
 }
 
 void RegistryCore::OnMessage(TimePoint now, const Envelope& in, Outbox& out) {
+  if (!started_) {
+    started_ = now;
+  }
   if (replica_) {
     StepReplica(now, in, out);
   }
--- a/src/coordination/gateway/registry_core.h
+++ b/src/coordination/gateway/registry_core.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "coordination/gateway/configuration_store.h"
+#include "coordination/gateway/lease_wait.h"
 #include "coordination/gateway/registry_type.h"
 #include "coordination/gateway/target_directory.h"
 #include "coordination/replica_core.h"
@@ -59,6 +60,9 @@
   /** @return True while no newer configuration than the one served here can
    * have been in force for longer than the revocation bound. */
   bool HasLease(TimePoint now) const { return now < lease_until_; }
+  /** @return What is known of the return of the lease.
+   * @pre OnMessage() was called before. */
+  LeaseOutlook OutlookOfLease(TimePoint now) const;
   /** @return True if a member answered a poll that was sent within the last
    * 1.5 s, or if this gateway is the only member. Registrations accepted
    * meanwhile reach the other gateways. */
@@ -177,6 +181,11 @@
   NodeId leader_;                ///< Last known leader; none before the first.
   TimePoint last_leader_grant_;  ///< When a leader last granted a lease.
   TimePoint lease_until_;        ///< End of the lease.
+  std::optional<TimePoint> started_;  ///< Time of the first message.
+  /** First answer of a member since the start or since members were silent. */
+  std::optional<TimePoint> contact_since_;
+  TimePoint last_status_;  ///< Receipt of the newest answer of a member.
+  bool status_names_leader_ = false;  ///< That answer names a leader.
   std::vector<NodeId> members_;  ///< Members in the last status of a member.
   uint64_t poll_number_ = 0;     ///< Number of the last poll.
   std::map<uint64_t, TimePoint> open_polls_;  ///< Send time by poll number.
--- a/src/coordination/gateway/registry_members.cc
+++ b/src/coordination/gateway/registry_members.cc
@@ -42,6 +42,32 @@
   return only_member || now - last_answered_poll_ < kStatusTimeout;
 }
 
+LeaseOutlook RegistryCore::OutlookOfLease(TimePoint now) const {
+  // Of the replicas whose timeouts are spread evenly, three or more, the first
+  // one to notice starts the election; then the votes and the polls follow.
+  constexpr int64_t kSpreadDivisor = 4;
+  LeaseOutlook outlook;
+  outlook.usual_election_ = kElectionMin +
+                            (kElectionMax - kElectionMin) / kSpreadDivisor +
+                            kPollPeriodWithoutLease;
+  outlook.running_ = now - started_.value_or(now);
+  const std::vector<NodeId> ids = MemberIds();
+  if (ids.size() == 1 && ids.front() == settings_.self_) {
+    outlook.has_contact_ = true;
+    outlook.in_contact_ = outlook.running_;
+    return outlook;
+  }
+  outlook.has_contact_ = contact_since_.has_value();
+  if (outlook.has_contact_) {
+    outlook.member_silence_ = now - last_status_;
+    outlook.in_contact_ = now - *contact_since_;
+    outlook.leader_is_named_ = status_names_leader_;
+  } else {
+    outlook.member_silence_ = outlook.running_;
+  }
+  return outlook;
+}
+
 std::vector<NodeId> RegistryCore::OtherNodes() const {
   std::vector<NodeId> others;
   for (const NodeId& node : nodes_) {
@@ -148,6 +174,11 @@
     return;
   }
   last_answered_poll_ = std::max(last_answered_poll_, sent->second);
+  if (!contact_since_ || now - last_status_ > kPollTimeout) {
+    contact_since_ = now;
+  }
+  last_status_ = now;
+  status_names_leader_ = !status.leader_.IsNone();
   if (!replica_ || replica_->Members().empty()) {
     if (!status.members_.empty()) {
       members_ = status.members_;
--- a/src/coordination/gateway/registry_type.h
+++ b/src/coordination/gateway/registry_type.h
@@ -51,6 +51,9 @@
 /** Time after which an unreachable voter is removed, if enough voters remain.
  */
 inline constexpr Duration kVoterTimeout = 8_s;
+/** Election timeouts of the members' replicas. */
+inline constexpr Duration kElectionMin = 600_ms;
+inline constexpr Duration kElectionMax = 1100_ms;
 /** Minimum time between two membership changes, so that each takes effect
  * before the next. */
 inline constexpr Duration kMembershipPeriod = 200_ms;
--- a/src/state/event_type.h
+++ b/src/state/event_type.h
@@ -62,6 +62,7 @@
   kForwardFinished = 615,
   kForwardFailed = 616,
   kForwardAbandoned = 617,
+  kForwardHeld = 618,
   kTargetSuspected = 620,
   kTargetTrusted = 621,
   kTargetPaused = 625,
--- a/src/state/table/events.h
+++ b/src/state/table/events.h
@@ -19,7 +19,7 @@
   std::string_view meaning_;  ///< For people.
 };
 
-inline constexpr std::array<EventRow, 63> kEvents{{
+inline constexpr std::array<EventRow, 64> kEvents{{
     {EventId::kProcessStarted, "process-started", EventLevel::kInfo,
      "A process started with its roles."},
     {EventId::kProcessStopping, "process-stopping", EventLevel::kInfo,
@@ -112,6 +112,8 @@
      "A gateway took a request in."},
     {EventId::kForwardRefused, "forward-refused", EventLevel::kInfo,
      "A gateway refused a request; it did not run."},
+    {EventId::kForwardHeld, "forward-held", EventLevel::kDebug,
+     "A request waits for the lease of its gateway."},
     {EventId::kForwardSent, "forward-sent", EventLevel::kDebug,
      "A request was sent to a target; with the figures that chose it."},
     {EventId::kForwardRetried, "forward-retried", EventLevel::kInfo,
--- a/src/transport/gateway/forward.cc
+++ b/src/transport/gateway/forward.cc
@@ -21,9 +21,10 @@
 /** Retry-After of a gateway that is stopping; other gateways can accept the
  * request immediately. */
 constexpr Duration kOtherGatewayRetry = 20_ms;
-/** Retry-After without a lease or a configuration; an election or a poll
- * restores the lease. */
-constexpr Duration kLeaseRetry = 1_s;
+/** Deadline of a caller that names none, while no route is known. */
+constexpr Duration kUnknownDeadline = 5_s;
+/** Memory of a waiting request and its connection besides the body. */
+constexpr size_t kRequestOverheadBytes = 4096;
 
 }  // namespace
 
@@ -37,8 +38,8 @@
       events_(facts_.last_event_) {}
 
 void Forward::Start() {
-  if (gateway_.AcceptsRequests() && !HasLease()) {
-    lease_deadline_ = arrived_ + LeaseWait();
+  if (gateway_.AcceptsRequests() && !CanAdmit()) {
+    HoldOrRefuse();
     return;
   }
   AdmitAndPlace();
@@ -50,21 +51,64 @@
   }
 }
 
-bool Forward::HasLease() const {
+bool Forward::CanAdmit() const {
   return gateway_.Table() != nullptr &&
          gateway_.Registry().HasLease(gateway_.Now());
 }
 
-Duration Forward::LeaseWait() const {
+const Route* Forward::FindRoute() const {
   const RoutingTable* table = gateway_.Table();
   const auto host = request_[http::field::host];
   const auto path = request_.target();
-  const Route* route = table == nullptr
-                           ? nullptr
-                           : table->FindRoute({host.data(), host.size()},
-                                              {path.data(), path.size()});
-  return MaxLeaseWait(facts_.prompt_tokens_,
-                      route == nullptr ? Duration() : route->objective_);
+  return table == nullptr ? nullptr
+                          : table->FindRoute({host.data(), host.size()},
+                                             {path.data(), path.size()});
+}
+
+size_t Forward::HeldBytes() const {
+  return request_.body().size() + kRequestOverheadBytes;
+}
+
+void Forward::HoldOrRefuse() {
+  const Route* route = FindRoute();
+  Duration deadline = facts_.deadline_.value_or(kUnknownDeadline);
+  UnleasedRequest unleased;
+  if (route != nullptr) {
+    deadline =
+        std::min(facts_.deadline_.value_or(route->timeout_), route->timeout_);
+    unleased.objective_ = route->objective_;
+  }
+  const TimePoint now = gateway_.Now();
+  unleased.time_left_ = deadline - kAnswerMargin - (now - arrived_);
+  unleased.bytes_ = HeldBytes();
+  const bool waited = waiting_for_lease_;
+  StopWaitingForLease();
+  const LeaseOutlook outlook = gateway_.Registry().OutlookOfLease(now);
+  const LeaseDecision decision =
+      DecideLeaseWait(outlook, unleased, gateway_.HeldRequests());
+  if (decision.waits_) {
+    if (!waited) {
+      Log(EventId::kForwardHeld,
+          "expected_ms=" + std::to_string(decision.retry_after_.Ms()) +
+              " left_ms=" + std::to_string(unleased.time_left_.Ms()) +
+              " contact_ms=" + std::to_string(outlook.in_contact_.Ms()) +
+              " silence_ms=" + std::to_string(outlook.member_silence_.Ms()) +
+              " held=" + std::to_string(gateway_.HeldRequests().requests_));
+    }
+    waiting_for_lease_ = true;
+    gateway_.HeldRequests().Add(unleased.bytes_);
+    return;
+  }
+  Refuse(kUnavailable,
+         gateway_.Table() == nullptr ? "no-configuration" : "no-lease",
+         decision.retry_after_);
+}
+
+void Forward::StopWaitingForLease() {
+  if (waiting_for_lease_) {
+    waiting_for_lease_ = false;
+    gateway_.HeldRequests().Remove(HeldBytes());
+  }
 }
 
 bool Forward::Admit() {
@@ -74,16 +118,8 @@
     Refuse(kUnavailable, "stopping", kOtherGatewayRetry);
     return false;
   }
-  if (!HasLease()) {
-    Refuse(kUnavailable, table == nullptr ? "no-configuration" : "no-lease",
-           kLeaseRetry);
-    return false;
-  }
   config_version_ = table->Configuration().version_;
-  const auto host = request_[http::field::host];
-  const auto path = request_.target();
-  const Route* route =
-      table->FindRoute({host.data(), host.size()}, {path.data(), path.size()});
+  const Route* route = FindRoute();
   if (route == nullptr) {
     Refuse(kNotFound, "no-route", Duration());
     return false;
@@ -182,6 +218,7 @@
     return;
   }
   ended_ = true;
+  StopWaitingForLease();
   if (attempt_) {
     attempt_->connection_->Cancel();
     attempt_.reset();
@@ -211,10 +248,12 @@
   if (ended_) {
     return;
   }
-  if (lease_deadline_ != TimePoint()) {
-    if (HasLease() || now >= lease_deadline_) {
-      lease_deadline_ = TimePoint();
+  if (waiting_for_lease_) {
+    if (CanAdmit() || !gateway_.AcceptsRequests()) {
+      StopWaitingForLease();
       AdmitAndPlace();
+    } else {
+      HoldOrRefuse();
     }
     return;
   }
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -68,8 +68,11 @@
 
   // forward.cc: admission, refusal and end of the request.
   void AdmitAndPlace();
-  bool HasLease() const;
-  Duration LeaseWait() const;
+  bool CanAdmit() const;
+  const Route* FindRoute() const;
+  void HoldOrRefuse();
+  void StopWaitingForLease();
+  size_t HeldBytes() const;
   bool Admit();
   bool Authenticate();
   void Refuse(unsigned status, const std::string& reason, Duration retry_after);
@@ -162,8 +165,7 @@
   /** Time at which the first event was sent to the caller. */
   TimePoint first_event_time_;
 
-  /** End of the wait for the gateway's lease; unset if not waiting. */
-  TimePoint lease_deadline_;
+  bool waiting_for_lease_ = false;  ///< Held until the gateway has a lease.
   /** The next placement is not requested from the leader. */
   bool skip_leader_ = false;
   /** Outcome of the latest attempt; kUnknown once it is reported to the
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -65,6 +65,8 @@
   TargetPool& Pool() { return pool_; }
   RetryWindow& Retries(const std::string& service);
   bool IsStopping() const { return stopping_; }
+  /** @return Requests that wait for the lease of this gateway. */
+  HeldWork& HeldRequests() { return held_requests_; }
   /** @return Size in bytes beyond which a whole answer is a failure. */
   size_t MaxAnswerBytes() const {
     return static_cast<size_t>(settings_.gateway_answer_bytes_);
@@ -234,6 +236,7 @@
   bool stopping_ = false;           ///< A planned stop has begun.
   TimePoint stop_begun_;            ///< When.
   bool had_lease_ = false;          ///< For log lines.
+  HeldWork held_requests_;          ///< Until the lease is there.
   TimePoint leader_backoff_until_;  ///< Not before this time.
   TimePoint last_leader_reply_;     ///< When a question was answered last.
   TimePoint next_load_;             ///< When to report the load.
--- a/src/transport/gateway/gateway_registry.cc
+++ b/src/transport/gateway/gateway_registry.cc
@@ -17,8 +17,6 @@
  * leaves two more for an election within the bound of three seconds. */
 constexpr Duration kHeartbeat = 100_ms;
 constexpr Duration kLeaderLease = 450_ms;
-constexpr Duration kElectionMin = 600_ms;
-constexpr Duration kElectionMax = 1100_ms;
 constexpr uint64_t kSnapshotEntries = 512;
 constexpr uint64_t kTailEntries = 16;
 constexpr uint64_t kMostUncommitted = 64;
--- a/tests/gateway_attempt_test.cc
+++ b/tests/gateway_attempt_test.cc
@@ -75,17 +75,6 @@
   CHECK_FALSE(MayRetry(stream, kUnknown));
 }
 
-TEST_CASE(
-    "attempt policy: only long prompts wait as long as an election takes") {
-  CHECK(MaxLeaseWait(0, Duration()) <= 60_ms);
-  CHECK(MaxLeaseWait(5000, Duration()) <= 60_ms);
-  CHECK(MaxLeaseWait(154000, Duration()) >= 1_s);
-  CHECK(MaxLeaseWait(154000, Duration()) <= 1500_ms);
-  for (const Duration objective : {120_ms, 300_ms, 1500_ms, 3_s}) {
-    CHECK(MaxLeaseWait(154000, objective) <= objective / 3);
-  }
-}
-
 TEST_CASE("retry window: the sum over gateways stays within the limit") {
   // Peak load: each gateway gets 20 requests a second, all of which fail.
   constexpr size_t kGateways = 6;
