Free the engines of a long prompt at once when it ends early

Cause: FinishPrefill took the part off the count but left the predicted end of its prefill, so that an engine whose prompt was refused or had failed counted as reading for seconds. Test: prompt_scheduler_test.

--- a/src/coordination/gateway/prompt_scheduler.cc
+++ b/src/coordination/gateway/prompt_scheduler.cc
@@ -86,7 +86,12 @@
 
 void PromptScheduler::FinishPrefill(PlacedPrompt& placed) {
   for (const TargetId& reader : placed.readers_) {
-    --placed_work_.prefill_by_engine_[reader].unfinished_parts_;
+    PendingPrefill& pending = placed_work_.prefill_by_engine_[reader];
+    --pending.unfinished_parts_;
+    // The prompt may have ended long before its predicted end.
+    if (pending.unfinished_parts_ <= 0) {
+      pending.until_ = TimePoint();
+    }
     placed_work_.changed_engines_.push_back(reader);
   }
   placed.readers_.clear();
--- a/tests/prompt_scheduler_test.cc
+++ b/tests/prompt_scheduler_test.cc
@@ -281,6 +281,25 @@
   CHECK(replies.refused_.size() < 14);
 }
 
+TEST_CASE("leader: a long prompt that ends early frees its engines at once") {
+  // Guards against engines that count as busy for seconds after a prompt was
+  // refused by its owner (enlarged Calcada Viva, scenario scale-1, second 16).
+  TargetDirectory directory;
+  AddEngines(directory, 3, kSlotsPerEngine);
+  PlacementFixture leader("g0", directory);
+  PromptScheduler scheduler(leader.placer_);
+  const Service service{"model", 398, GrownEngine()};
+  scheduler.OnPlacementRequest(TimePoint(0), NodeId("g1"),
+                               MakeAsk(1, 200000, 20_s, 20_s), &service);
+  REQUIRE(TakeRepliesByKind(scheduler).placed_.size() == 1);
+  scheduler.OnPlacementRequest(TimePoint(10), NodeId("g1"),
+                               MakeAsk(2, 200000, 20_s, 20_s), &service);
+  CHECK(TakeRepliesByKind(scheduler).placed_.empty());
+  scheduler.OnPromptProgress(TimePoint(30), NodeId("g1"),
+                             PromptStep{OperationId(1), true, {}, {}});
+  CHECK(TakeRepliesByKind(scheduler).placed_.size() == 1);
+}
+
 TEST_CASE(
     "leader: prompts of a gateway without reports are removed after 2 s") {
   TargetDirectory directory;
