Give engines that decode answers parts of long prompts, as long as the pause allows

Change: an engine's longest part follows what it decodes: 120 ms beside short answers, 400 ms beside long ones, any beside none; the widest set of free engines whose even part fits is used. The prediction of the queue counts all engines of the long zone.

--- a/src/coordination/gateway/placement.h
+++ b/src/coordination/gateway/placement.h
@@ -102,9 +102,12 @@
   bool IsLong(const PlacementRequest& request) const;
 
   /**
-   * Places a long prompt at the leader if enough readers are free according to
+   * Places a long prompt at the leader if enough engines are free according to
    * @p leader_work. An engine prefills the newest part first, so parts that
-   * accumulate at it would never finish.
+   * accumulate at it would never finish. Engines that decode answers take parts
+   * too, as long as the pause stays within the objectives of these answers: in
+   * a burst of long prompts most engines decode something, and the few that do
+   * not would leave three quarters of the prefill capacity unused.
    * @return The placement, or nothing if it has to wait.
    */
   std::optional<Placement> PlaceLongNow(TimePoint now,
@@ -123,7 +126,7 @@
   SlotTurnover SlotTurnoverFor(TimePoint now, const PlacementRequest& request,
                                const LeaderWork& leader_work) const;
 
-  /** @return Number of engines that only prefill long prompts, at least 1. */
+  /** @return Number of engines that prefill long prompts, at least 1. */
   size_t ReaderCount(TimePoint now, const PlacementRequest& request,
                      const LeaderWork& leader_work) const;
 
@@ -143,12 +146,11 @@
     const DirectoryEntry* entry_ = nullptr;  ///< Registration of the target.
     TargetLoad load_;                        ///< Work in progress there.
 
-    uint64_t order_ = 0;             ///< Sort key, equal at all gateways.
-    double penalty_ms_ = 0;          ///< For distance, warm-up and failures.
-    int64_t short_streams_ = 0;      ///< Delayed by long prefills.
-    bool on_trial_ = false;          ///< One request at a time, after failures.
-    double pending_prefill_ms_ = 0;  ///< Of long prompts.
-    int64_t open_parts_ = 0;         ///< Of prompts before their first event.
+    uint64_t order_ = 0;         ///< Sort key, equal at all gateways.
+    double penalty_ms_ = 0;      ///< For distance, warm-up and failures.
+    int64_t short_streams_ = 0;  ///< Delayed by long prefills.
+    bool on_trial_ = false;      ///< One request at a time, after failures.
+    int64_t open_parts_ = 0;     ///< Of prompts before their first event.
   };
   /** An engine with all its work known to the leader. */
   struct EngineRow {
@@ -224,7 +226,21 @@
   std::vector<const EngineRow*> LongZone(TimePoint now,
                                          const PlacementRequest& request,
                                          const LeaderWork& leader_work) const;
-  static void RemoveShortStreamEngines(std::vector<Candidate>& zone);
+  /** What an engine decodes, from the least to the most sensitive to pauses. */
+  enum class DecodeKind : uint8_t {
+    kNothing,       ///< A part may take as long as it needs.
+    kLongAnswers,   ///< Answers of long prompts.
+    kShortAnswers,  ///< Answers of short prompts.
+  };
+  static DecodeKind DecodesAt(const Candidate& candidate);
+  static Candidate LongCandidate(TimePoint now, const EngineRow& row);
+  /** @return A placement on engines of @p free that decode nothing more
+   * sensitive than @p decoding, or nothing if its parts would be too long.
+   * @param idle Engines that own no long prompt; the prompt waits until one in
+   * kFreeReaderDivisor of them is free. */
+  static std::optional<Placement> PlaceLongOn(const PlacementRequest& request,
+                                              std::vector<Candidate> free,
+                                              DecodeKind decoding, size_t idle);
   static Placement BuildLongPlacement(const PlacementRequest& request,
                                       const Candidate& owner,
                                       const std::vector<Candidate>& helpers);
--- a/src/coordination/gateway/placement_leader.cc
+++ b/src/coordination/gateway/placement_leader.cc
@@ -104,12 +104,7 @@
 
 size_t Placer::ReaderCount(TimePoint now, const PlacementRequest& request,
                            const LeaderWork& leader_work) const {
-  const std::vector<const EngineRow*> zone =
-      LongZone(now, request, leader_work);
-  const auto readers = std::count_if(
-      zone.begin(), zone.end(),
-      [](const EngineRow* row) { return row->long_prompts_.requests_ == 0; });
-  return std::max<size_t>(1, static_cast<size_t>(readers));
+  return std::max<size_t>(1, LongZone(now, request, leader_work).size());
 }
 
 std::optional<size_t> Placer::ChooseOwner(const PlacementRequest& request,
@@ -138,18 +133,6 @@
   return best;
 }
 
-void Placer::RemoveShortStreamEngines(std::vector<Candidate>& zone) {
-  std::stable_sort(zone.begin(), zone.end(),
-                   [](const Candidate& a, const Candidate& b) {
-                     return a.short_streams_ < b.short_streams_;
-                   });
-  const size_t least =
-      (zone.size() + kMinReaderDivisor - 1) / kMinReaderDivisor;
-  while (zone.size() > least && zone.back().short_streams_ > 0) {
-    zone.pop_back();
-  }
-}
-
 void Placer::ConsiderForShort(TimePoint now, const PlacementRequest& request,
                               const EngineRow& row, double bias_ms,
                               ShortChoice& choice) {
@@ -248,62 +231,92 @@
   return turnover;
 }
 
+Placer::Candidate Placer::LongCandidate(TimePoint now, const EngineRow& row) {
+  Candidate candidate = row.candidate_;
+  candidate.load_ = row.long_prompts_;
+  candidate.load_.prefill_ms_ =
+      row.not_by_leader_.prefill_ms_ + row.pending_prefill_.LeftMs(now);
+  candidate.load_.tokens_ +=
+      row.short_prompts_.tokens_ + row.not_by_leader_.tokens_;
+  candidate.short_streams_ = std::max<int64_t>(
+      0, row.short_prompts_.requests_ + row.not_by_leader_.requests_);
+  candidate.penalty_ms_ +=
+      kShortStreamPenaltyMs * static_cast<double>(candidate.short_streams_);
+  candidate.open_parts_ = row.pending_prefill_.unfinished_parts_;
+  return candidate;
+}
+
 std::optional<Placement> Placer::PlaceLongNow(
     TimePoint now, const PlacementRequest& request,
     const LeaderWork& leader_work) const {
-  const EngineProfile& engine = *request.service_->engine_;
-  std::vector<Candidate> zone;
+  std::vector<Candidate> free;
+  size_t idle = 0;
   for (const EngineRow* row : LongZone(now, request, leader_work)) {
     if (row->candidate_.on_trial_) {
       continue;
     }
-    Candidate candidate = row->candidate_;
-    candidate.load_ = row->long_prompts_;
-    candidate.load_.prefill_ms_ = row->not_by_leader_.prefill_ms_;
-    candidate.load_.tokens_ +=
-        row->short_prompts_.tokens_ + row->not_by_leader_.tokens_;
-    candidate.short_streams_ = std::max<int64_t>(
-        0, row->short_prompts_.requests_ + row->not_by_leader_.requests_);
-    candidate.penalty_ms_ +=
-        kShortStreamPenaltyMs * static_cast<double>(candidate.short_streams_);
-    candidate.pending_prefill_ms_ = row->pending_prefill_.LeftMs(now);
-    candidate.open_parts_ = row->pending_prefill_.unfinished_parts_;
-    zone.push_back(candidate);
-  }
-  RemoveShortStreamEngines(zone);
-  std::vector<Candidate> free;
-  size_t readers = 0;
-  for (Candidate& candidate : zone) {
-    readers += candidate.load_.requests_ == 0 ? 1 : 0;
-    candidate.load_.prefill_ms_ += candidate.pending_prefill_ms_;
+    const Candidate candidate = LongCandidate(now, *row);
+    idle += candidate.load_.requests_ == 0 ? 1 : 0;
     if (candidate.open_parts_ <= kMaxOpenParts &&
         candidate.load_.prefill_ms_ <= kMaxFreeReaderPrefillMs) {
       free.push_back(candidate);
     }
   }
+  std::optional<Placement> placement;
+  for (const DecodeKind decoding :
+       {DecodeKind::kShortAnswers, DecodeKind::kLongAnswers}) {
+    placement = PlaceLongOn(request, free, decoding, 0);
+    if (placement) {
+      return placement;
+    }
+  }
+  return PlaceLongOn(request, std::move(free), DecodeKind::kNothing, idle);
+}
+
+Placer::DecodeKind Placer::DecodesAt(const Candidate& candidate) {
+  if (candidate.short_streams_ > 0) {
+    return DecodeKind::kShortAnswers;
+  }
+  return candidate.load_.requests_ > 0 ? DecodeKind::kLongAnswers
+                                       : DecodeKind::kNothing;
+}
+
+std::optional<Placement> Placer::PlaceLongOn(const PlacementRequest& request,
+                                             std::vector<Candidate> free,
+                                             DecodeKind decoding, size_t idle) {
+  const EngineProfile& engine = *request.service_->engine_;
+  std::erase_if(free, [decoding](const Candidate& candidate) {
+    return DecodesAt(candidate) > decoding;
+  });
   const std::optional<size_t> owner_at = ChooseOwner(request, free);
   if (!owner_at) {
     return std::nullopt;
   }
   const Candidate owner = free[*owner_at];
   free.erase(free.begin() + static_cast<std::ptrdiff_t>(*owner_at));
-  readers -= owner.load_.requests_ == 0 ? 1 : 0;
-  // Engines that decode answers start a part one event interval later, which
-  // delays all other readers of the prompt.
   std::erase_if(free, [](const Candidate& candidate) {
-    return candidate.load_.requests_ > 0 ||
-           candidate.penalty_ms_ >= kSuspectedPenaltyMs;
+    return candidate.penalty_ms_ >= kSuspectedPenaltyMs;
   });
   const auto wanted = static_cast<size_t>(
       HelperCount(engine, request.prompt_tokens_, kMaxLongPartMs, kMaxHelpers));
-  if (free.size() < std::min(wanted, (readers + kFreeReaderDivisor - 1) /
-                                         kFreeReaderDivisor)) {
+  const size_t helpers = std::min(wanted, free.size());
+  idle -= idle > 0 && DecodesAt(owner) == DecodeKind::kNothing ? 1 : 0;
+  const size_t least_helpers =
+      (idle + kFreeReaderDivisor - 1) / kFreeReaderDivisor;
+  const double part_ms = PrefillMs(engine, request.prompt_tokens_) /
+                         static_cast<double>(helpers + 1);
+  if (helpers < std::min(wanted, least_helpers) ||
+      part_ms > kMaxPartMs[static_cast<size_t>(decoding)]) {
     return std::nullopt;
   }
   std::sort(free.begin(), free.end(),
             [](const Candidate& a, const Candidate& b) {
-              return a.penalty_ms_ + a.load_.prefill_ms_ <
-                     b.penalty_ms_ + b.load_.prefill_ms_;
+              // Engines that decode start their part one event interval later,
+              // which delays all other readers of the prompt.
+              return std::make_pair(DecodesAt(a),
+                                    a.penalty_ms_ + a.load_.prefill_ms_) <
+                     std::make_pair(DecodesAt(b),
+                                    b.penalty_ms_ + b.load_.prefill_ms_);
             });
   return BuildLongPlacement(request, owner, free);
 }
--- a/src/coordination/gateway/placement_weights.h
+++ b/src/coordination/gateway/placement_weights.h
@@ -2,6 +2,7 @@
  * Penalties are in milliseconds of predicted time to the first event. */
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 
@@ -69,16 +70,16 @@
  * without a first event, as engines may be slower than predicted. One of these
  * parts has usually been prefilled already. */
 inline constexpr int64_t kMaxOpenParts = 1;
-/** A long prompt is placed once one in so many readers is free: with fewer its
- * parts become longer, with more the free ones idle meanwhile. */
+/** A long prompt is placed once one in so many idle engines is free: with fewer
+ * its parts become longer, with more the free ones wait meanwhile. */
 inline constexpr size_t kFreeReaderDivisor = 3;
 /** Penalty of an engine that owns no prompt yet, as it is lost as a reader;
  * about one event interval. */
 inline constexpr double kNewOwnerPenaltyMs = 60;
-/** Engines that decode short answers prefill no long prompts, as the pause
- * during a part makes events of short answers late. One in so many engines
- * stays available as a reader in any case. */
-inline constexpr size_t kMinReaderDivisor = 2;
+/** Longest part of a long prompt on an engine, by Placer::DecodeKind: the part
+ * and one event interval stay below the pause objectives of the answers that
+ * the engine decodes. */
+inline constexpr std::array<double, 3> kMaxPartMs{1e6, 400, 120};
 /** Penalty for a long prompt per short stream in progress at an engine. */
 inline constexpr double kShortStreamPenaltyMs = 10;
 /** Penalty of a failed request, times the failure rate; about its objective. */
