Limit the wait of short prompts by their deadline, in a pure admission policy

Change: the limit is a third of the caller's time, the longest Retry-After that callers follow, so a queued prompt begins before a refused one could return. Rules and times of refusal move from the forwarding of requests into admission_policy, pure. Test: admission_policy_test (deadlines of 2, 10 and 60 s).

--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/gateway/admission_policy.h"
 #include "coordination/gateway/attempt_policy.h"
 #include "coordination/gateway/event_splitter.h"
 #include "coordination/gateway/placement.h"
@@ -81,6 +82,7 @@
   void Log(EventId id, const std::string& detail) const;
   Duration TimeLeft() const;
   bool IsPrompt() const;
+  RequestTimes Times() const;
 
   // forward_attempt.cc: attempts at targets and their outcomes.
   void StartAttempt();
@@ -116,11 +118,9 @@
 
   // forward_prompt.cc: placement of prompts by the leader.
   bool RequestPlacement(const PlacementRequest& to_place);
-  Duration LatestFirstEvent(bool is_long) const;
   void OnPlacementReply(const Message& answer);
   void CheckLeaderTimeouts(TimePoint now);
   void EndLeaderRequest();
-  bool IsCallerRetry() const;
 
   // forward_reserve.cc: memory for prompts that exceed that of one engine.
   void Reserve(const Placement& placement);
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -27,25 +27,9 @@
 /** Retry-After if no target can be chosen; by then a target that left or failed
  * is replaced or healthy again. */
 constexpr Duration kRetryAfterNoTarget = 1_s;
-/** Callers give at least this part, in tenths, of the route's timeout as the
- * deadline of their first try; after a refusal they have less time left. */
-constexpr int64_t kFirstTryTimeoutTenths = 8;
-constexpr int64_t kTenths = 10;
-/** Multiple of its objective within which the first event must be predicted for
- * the retry of a caller that was refused before. */
-constexpr int64_t kCallerRetryObjectives = 2;
-/** Multiple of the predicted wait that Retry-After asks for. Queued work is
- * done after about one wait; twice that allows for work that arrives meanwhile.
- */
-constexpr int64_t kRetryAfterWaits = 2;
 /** Bytes of an unstreamed answer that count as progress; fewer may come from a
  * target that hangs but still sends single bytes. */
 constexpr size_t kProgressBytes = 256;
-/** Bounds of Retry-After for a request whose predicted wait is too long.
- * Callers follow Retry-After only up to a third of the time that they have
- * left. */
-constexpr Duration kMinRetryAfter = 2_s;
-constexpr Duration kMaxRetryAfter = 3_s;
 
 /** Hop-by-hop header fields, besides those listed in Connection. */
 constexpr std::array<std::string_view, 8> kHopByHopHeaders{
@@ -97,7 +81,7 @@
   if (sent_ == 0 && !CanMeetObjective(*placement)) {
     const Duration wait(static_cast<int64_t>(placement->wait_ms_));
     Refuse(kUnavailable, "overloaded wait_ms=" + std::to_string(wait.Ms()),
-           std::clamp(wait * kRetryAfterWaits, kMinRetryAfter, kMaxRetryAfter));
+           RetryAfterOwnRefusal(wait));
     return;
   }
   if (!placement->reservations_.empty()) {
@@ -107,21 +91,16 @@
   SendTo(*placement);
 }
 
-bool Forward::IsCallerRetry() const {
-  return facts_.deadline_.value_or(route_.timeout_) <
-         route_.timeout_ * kFirstTryTimeoutTenths / kTenths;
+RequestTimes Forward::Times() const {
+  return RequestTimes{route_.objective_, route_.timeout_,
+                      facts_.deadline_.value_or(route_.timeout_)};
 }
 
 bool Forward::CanMeetObjective(const Placement& placement) const {
   if (!IsPrompt() || route_.objective_ <= Duration()) {
     return true;
   }
-  // A caller that was refused before has missed its objective already, so a
-  // longer wait is accepted rather than refusing it again.
-  const Duration max_wait =
-      std::min(IsCallerRetry() ? route_.objective_ * kCallerRetryObjectives
-                               : route_.objective_,
-               TimeLeft());
+  const Duration max_wait = std::min(MaxWaitWithoutLeader(Times()), TimeLeft());
   return placement.wait_ms_ <= static_cast<double>(max_wait.Ms());
 }
 
--- a/src/transport/gateway/forward_prompt.cc
+++ b/src/transport/gateway/forward_prompt.cc
@@ -11,24 +11,14 @@
 namespace {
 
 constexpr unsigned kUnavailable = 503;
-/** Bounds of Retry-After for prompts that the leader refuses. Callers follow
- * Retry-After only up to a third of the time that they have left. */
-constexpr Duration kMinRetryAfter = 2500_ms;
-constexpr Duration kMaxRetryAfter = 4_s;
 /** Time after the latest start of a long prompt at which its placement request
  * times out. */
 constexpr Duration kLongReplyMargin = 300_ms;
 /** Time after which the placement request of a short prompt times out if the
  * leader has not replied to any request since. */
 constexpr Duration kShortReplyTimeout = 100_ms;
-/** Time from arrival within which a short prompt must get its first event, else
- * it is refused; callers of short streams disconnect after two seconds. */
-constexpr Duration kShortFirstEventLimit = 1400_ms;
 /** A long prompt waits for an election for its objective divided by this. */
 constexpr int64_t kLeaderWaitDivisor = 3;
-/** Multiple of its objective that the first event of a long prompt may take if
- * the caller was refused before. */
-constexpr int64_t kLongRetryObjectives = 3;
 
 }  // namespace
 
@@ -66,7 +56,8 @@
   request.objective_ = route_.objective_ - waited;
   const Duration left = answer_deadline_ - now;
   request.latest_ =
-      sent_ > 0 ? left : std::min(LatestFirstEvent(is_long) - waited, left);
+      sent_ > 0 ? left
+                : std::min(LatestFirstEvent(Times(), is_long) - waited, left);
   leader_asked_at_ = now;
   leader_reply_deadline_ =
       now + (is_long ? request.latest_ + kLongReplyMargin : kShortReplyTimeout);
@@ -77,17 +68,6 @@
   return true;
 }
 
-Duration Forward::LatestFirstEvent(bool is_long) const {
-  // A long prompt of a caller that was refused before has missed its objective
-  // already, so it gets a longer limit. A short prompt is served late rather
-  // than refused, because a retry by the caller would be later still.
-  if (!is_long) {
-    return std::max(route_.objective_, kShortFirstEventLimit);
-  }
-  return IsCallerRetry() ? route_.objective_ * kLongRetryObjectives
-                         : route_.objective_;
-}
-
 void Forward::OnPlacementReply(const Message& answer) {
   if (ended_ || attempt_) {
     return;
@@ -104,7 +84,7 @@
     Refuse(
         kUnavailable,
         "overloaded by=leader wait_ms=" + std::to_string(refused->wait_.Ms()),
-        std::clamp(refused->wait_, kMinRetryAfter, kMaxRetryAfter));
+        RetryAfterLeaderRefusal(refused->wait_));
     return;
   }
   const auto* placed = std::get_if<PromptPlaced>(&answer);
