Count only prompts that can be in time as passing a late one

Cause: the wait of a late short prompt was predicted from the rate of all arrivals, also of those that are late themselves; when all gateways restart, the callers return together, all late, and were refused for each other's sake. Test: prompt_scheduler_test (all refused before).

--- a/src/coordination/gateway/prompt_scheduler.cc
+++ b/src/coordination/gateway/prompt_scheduler.cc
@@ -193,18 +193,24 @@
                           : placed_work_.long_prompts_;
 }
 
-void PromptScheduler::UpdateShortRate(TimePoint now) {
-  short_arrivals_.push_back(now);
-  while (now - short_arrivals_.front() > kRateWindow) {
-    short_arrivals_.pop_front();
+double PromptScheduler::ArrivalRate::Add(TimePoint now) {
+  arrivals_.push_back(now);
+  return PerSecond(now);
+}
+
+double PromptScheduler::ArrivalRate::PerSecond(TimePoint now) {
+  while (!arrivals_.empty() && now - arrivals_.front() > kRateWindow) {
+    arrivals_.pop_front();
   }
-  placed_work_.short_prompts_per_s_ =
-      static_cast<double>(short_arrivals_.size()) * kMsPerSecond /
-      static_cast<double>(kRateWindow.Ms());
+  return static_cast<double>(arrivals_.size()) * kMsPerSecond /
+         static_cast<double>(kRateWindow.Ms());
 }
 
 void PromptScheduler::PlaceOrQueueShort(TimePoint now, QueuedPrompt queued) {
-  UpdateShortRate(now);
+  placed_work_.short_prompts_per_s_ = short_arrivals_.Add(now);
+  if (queued.queue_order_ > now) {
+    timely_arrivals_.Add(now);
+  }
   if (short_queue_.empty()) {
     const auto placement = ChooseEngineForShort(now, queued);
     if (placement) {
@@ -234,12 +240,12 @@
 
 double PromptScheduler::ShortWaitMs(TimePoint now, const QueuedPrompt& queued,
                                     const SlotTurnover& turnover,
-                                    size_t ahead) const {
+                                    size_t ahead) {
   // A prompt that misses its objective waits until no prompt that can meet its
-  // own needs a slot, so later arrivals pass it.
+  // own needs a slot, so later arrivals pass it unless they are late as well.
   const double passing_rate = CanMeetObjective(now, queued, turnover, ahead)
                                   ? 0
-                                  : placed_work_.short_prompts_per_s_;
+                                  : timely_arrivals_.PerSecond(now);
   return turnover.WaitMs(ahead, passing_rate) + kShortNetworkMs;
 }
 
--- a/src/coordination/gateway/prompt_scheduler.h
+++ b/src/coordination/gateway/prompt_scheduler.h
@@ -80,6 +80,17 @@
       return prefill_ms_ / static_cast<double>(ask_.prompt_tokens_ + 1);
     }
   };
+  /** Rate of recent arrivals. */
+  class ArrivalRate {
+   public:
+    /** Counts an arrival. @return Arrivals per second. */
+    double Add(TimePoint now);
+    /** @return Arrivals per second. */
+    double PerSecond(TimePoint now);
+
+   private:
+    std::deque<TimePoint> arrivals_;  ///< Within the window of the rate.
+  };
   /** A placed prompt. */
   struct PlacedPrompt {
     PlacedRequestId ledger_id_;      ///< Its id in LedgerOf().
@@ -95,7 +106,6 @@
                                                 const QueuedPrompt& queued);
   static void Insert(std::vector<QueuedPrompt>& queue, QueuedPrompt queued);
   LoadLedger& LedgerOf(const PlacedPrompt& placed);
-  void UpdateShortRate(TimePoint now);
   void PlaceOrQueueShort(TimePoint now, QueuedPrompt queued);
   void PlaceQueuedShort(TimePoint now);
   void PlaceQueuedLong(TimePoint now);
@@ -119,7 +129,7 @@
                                const SlotTurnover& turnover, size_t ahead);
   /** @return Predicted time to the first event of a short prompt. */
   double ShortWaitMs(TimePoint now, const QueuedPrompt& queued,
-                     const SlotTurnover& turnover, size_t ahead) const;
+                     const SlotTurnover& turnover, size_t ahead);
   void SendPlaced(TimePoint now, const QueuedPrompt& queued,
                   const Placement& placement);
   void Refuse(const QueuedPrompt& queued, double wait_ms);
@@ -137,7 +147,8 @@
   IdleConnections kept_connections_;       ///< Idle ones of all gateways.
   std::vector<QueuedPrompt> long_queue_;   ///< Sorted by queue_order_.
   std::vector<QueuedPrompt> short_queue_;  ///< Sorted by queue_order_.
-  std::deque<TimePoint> short_arrivals_;   ///< Recent, for the arrival rate.
+  ArrivalRate short_arrivals_;             ///< Of short prompts.
+  ArrivalRate timely_arrivals_;            ///< Of those that can be in time.
   std::map<Key, PlacedPrompt> placed_;     ///< Placed and not yet ended.
   std::vector<SchedulerReply> replies_;    ///< Until TakeReplies().
 };
--- a/tests/prompt_scheduler_test.cc
+++ b/tests/prompt_scheduler_test.cc
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 
+#include "coordination/gateway/admission_policy.h"
 #include "coordination/gateway/engine_model.h"
 #include "support/gateway_engines.h"
 
@@ -281,6 +282,31 @@
   CHECK(replies.refused_.size() < 14);
 }
 
+TEST_CASE("leader: prompts that return together after a restart are queued") {
+  // After a restart of all gateways the prompts that were cut off or held are
+  // placed at once, a second after they arrived. Guards against refusing those
+  // that need a slot that becomes free two seconds later (Calcada Viva,
+  // trouble-1, second 34): their callers would come back later still.
+  TargetDirectory directory;
+  AddEngines(directory, kEngines, kSlotsPerEngine);
+  PlacementFixture leader("g0", directory);
+  PromptScheduler scheduler(leader.placer_);
+  const Service service{"model", 398, GrownEngine()};
+  constexpr Duration kHeld = 1_s;
+  const RequestTimes times{300_ms, 10_s, 9_s};
+  const int64_t slots = kEngines * kSlotsPerEngine;
+  for (int64_t i = 0; i < slots * 3 / 2; ++i) {
+    scheduler.OnPlacementRequest(
+        TimePoint(0), GatewayName(static_cast<uint64_t>(i)),
+        MakeAsk(static_cast<uint64_t>(i) + 1, 4960, times.objective_ - kHeld,
+                LatestFirstEvent(times, false) - kHeld),
+        &service);
+  }
+  const Replies replies = TakeRepliesByKind(scheduler);
+  CHECK(replies.refused_.empty());
+  CHECK(static_cast<int64_t>(replies.placed_.size()) >= slots * 9 / 10);
+}
+
 TEST_CASE("leader: a long prompt that ends early frees its engines at once") {
   // Guards against engines that count as busy for seconds after a prompt was
   // refused by its owner (enlarged Calcada Viva, scenario scale-1, second 16).
