Log the inputs of the retry budget with each retry, made or not

Change: forward-retried and forward-resumed carry own and reported counts, the number of gateways and reporters and the age of the oldest report; a new line forward-not-retried says whether the budget or the limits of the request decided.

--- a/src/coordination/gateway/load_ledger.cc
+++ b/src/coordination/gateway/load_ledger.cc
@@ -173,6 +173,14 @@
                   : reports_.size();
 }
 
+Duration LoadLedger::OldestReportAge(TimePoint now) const {
+  Duration oldest;
+  for (const auto& [gateway, report] : reports_) {
+    oldest = std::max(oldest, now - report.received_);
+  }
+  return oldest;
+}
+
 void LoadLedger::RemoveOldReports(TimePoint now, Duration age) {
   std::erase_if(reports_, [this, now, age](const auto& item) {
     const bool old = now - item.second.received_ > age;
--- a/src/coordination/gateway/load_ledger.h
+++ b/src/coordination/gateway/load_ledger.h
@@ -86,6 +86,8 @@
   /** @return Number of other gateways whose reports the ledger holds, singly or
    * in a sum. */
   size_t ReporterCount() const;
+  /** @return Age of the oldest report. */
+  Duration OldestReportAge(TimePoint now) const;
   /** Sets the position of this gateway in the order of all gateways, which is
    * needed while the ledger holds a sum: a sum does not list its gateways.
    * @param index Less than @p gateways. @param gateways At least 1. */
--- a/src/coordination/gateway/retry_window.cc
+++ b/src/coordination/gateway/retry_window.cc
@@ -68,4 +68,14 @@
   return true;
 }
 
+std::string RetryWindow::Describe(TimePoint now, size_t gateways) {
+  Expire(now);
+  return "repeats=" + std::to_string(repeats_.size()) +
+         " requests=" + std::to_string(requests_.size()) +
+         " others_repeats=" + std::to_string(others_.repeats_) +
+         " others_requests=" + std::to_string(others_.requests_) +
+         " reporters=" + std::to_string(reporters_) +
+         " gateways=" + std::to_string(gateways);
+}
+
 }  // namespace gv
--- a/src/coordination/gateway/retry_window.h
+++ b/src/coordination/gateway/retry_window.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <deque>
+#include <string>
 
 #include "state/clock_type.h"
 
@@ -48,6 +49,8 @@
   /** Counts a retry if the budget allows it. @param gateways Number of gateways
    * that share the slack, at least 1. @return False if the budget is spent. */
   bool ConsumeRetryBudget(TimePoint now, size_t gateways);
+  /** @return What a decision depends on, as fields of a log line. */
+  std::string Describe(TimePoint now, size_t gateways);
 
  private:
   /** Removes what is older than the window. */
--- a/src/state/event_type.h
+++ b/src/state/event_type.h
@@ -63,6 +63,7 @@
   kForwardFailed = 616,
   kForwardAbandoned = 617,
   kForwardHeld = 618,
+  kForwardNotRetried = 619,
   kTargetSuspected = 620,
   kTargetTrusted = 621,
   kTargetPaused = 625,
--- a/src/state/table/events.h
+++ b/src/state/table/events.h
@@ -19,7 +19,7 @@
   std::string_view meaning_;  ///< For people.
 };
 
-inline constexpr std::array<EventRow, 64> kEvents{{
+inline constexpr std::array<EventRow, 65> kEvents{{
     {EventId::kProcessStarted, "process-started", EventLevel::kInfo,
      "A process started with its roles."},
     {EventId::kProcessStopping, "process-stopping", EventLevel::kInfo,
@@ -118,6 +118,8 @@
      "A request was sent to a target; with the figures that chose it."},
     {EventId::kForwardRetried, "forward-retried", EventLevel::kInfo,
      "An attempt failed and another target is tried."},
+    {EventId::kForwardNotRetried, "forward-not-retried", EventLevel::kInfo,
+     "An attempt failed and no other target is tried; with the budget."},
     {EventId::kForwardResumed, "forward-resumed", EventLevel::kInfo,
      "A broken stream goes on at another target."},
     {EventId::kForwardFinished, "forward-finished", EventLevel::kDebug,
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -358,17 +358,24 @@
   if (end.has_answer_) {
     target_failure_ = TakeWholeAnswer();
   }
-  const bool retry =
-      MayRetry(History(), end) &&
-      gateway_.Retries(service_.name_)
-          .ConsumeRetryBudget(gateway_.Now(), gateway_.Registry().NodeCount());
-  if (!retry) {
+  const TimePoint now = gateway_.Now();
+  const size_t gateways = gateway_.Registry().NodeCount();
+  RetryWindow& window = gateway_.Retries(service_.name_);
+  const std::string detail =
+      "reason=" + reason + " sent=" + std::to_string(sent_) +
+      " events=" + std::to_string(events_.Count()) +
+      " service=" + service_.name_ + " " + window.Describe(now, gateways) +
+      " reports_age_ms=" +
+      std::to_string(gateway_.Ledger().OldestReportAge(now).Ms());
+  const bool may_retry = MayRetry(History(), end);
+  if (!may_retry || !window.ConsumeRetryBudget(now, gateways)) {
+    Log(EventId::kForwardNotRetried,
+        std::string("cause=") + (may_retry ? "budget " : "limits ") + detail);
     FinishWithoutRetry(end, reason);
     return;
   }
   Log(answer_begun_ ? EventId::kForwardResumed : EventId::kForwardRetried,
-      "reason=" + reason + " sent=" + std::to_string(sent_) +
-          " events=" + std::to_string(events_.Count()));
+      detail);
   attempt_.reset();
   events_.DiscardPartialEvent();
   EndLeaderRequest();
