Let requests and the log pay for retries, so that the budget survives kills

Cause: the budget was a sum of reports. The retries of a gateway counted in its memory only; a kill took them out of the sum, and all gateways spent them once more. Class: a limit that is counted in processes and summed from reports. Change: each caller's request pays once for half of the ratio of a retry, where it arrived; the slack is given out by the leader, each permit in the replicated log first; a permit lives for one second. GatewayLoad.repeats_ stays in the message for neighbouring versions, empty. Ruled out: different counts of gateways (5 and 6 of 7, for half a second, in one gateway); old reports (0.72 s at most).

--- a/src/coordination/gateway/load_ledger.cc
+++ b/src/coordination/gateway/load_ledger.cc
@@ -173,14 +173,6 @@
                   : reports_.size();
 }
 
-Duration LoadLedger::OldestReportAge(TimePoint now) const {
-  Duration oldest;
-  for (const auto& [gateway, report] : reports_) {
-    oldest = std::max(oldest, now - report.received_);
-  }
-  return oldest;
-}
-
 void LoadLedger::RemoveOldReports(TimePoint now, Duration age) {
   std::erase_if(reports_, [this, now, age](const auto& item) {
     const bool old = now - item.second.received_ > age;
@@ -284,19 +276,6 @@
   return hash % (reports_.size() + 1) == static_cast<uint64_t>(before);
 }
 
-RepeatCount LoadLedger::ReportedRepeats(const std::string& service) const {
-  RepeatCount sum;
-  for (const auto& [gateway, report] : reports_) {
-    for (const ServiceRepeats& row : report.load_.repeats_) {
-      if (row.service_ == service) {
-        sum.requests_ += row.requests_;
-        sum.repeats_ += row.repeats_;
-      }
-    }
-  }
-  return sum;
-}
-
 int64_t LoadLedger::ShortStreams() const {
   int64_t sum = short_streams_;
   for (const auto& [gateway, report] : reports_) {
--- a/src/coordination/gateway/load_ledger.h
+++ b/src/coordination/gateway/load_ledger.h
@@ -8,7 +8,6 @@
 #include <vector>
 
 #include "coordination/gateway/load_sum.h"
-#include "coordination/gateway/retry_window.h"
 #include "protocol/registry_messages.h"
 #include "state/clock_type.h"
 #include "state/ids_type.h"
@@ -86,8 +85,6 @@
   /** @return Number of other gateways whose reports the ledger holds, singly or
    * in a sum. */
   size_t ReporterCount() const;
-  /** @return Age of the oldest report. */
-  Duration OldestReportAge(TimePoint now) const;
   /** Sets the position of this gateway in the order of all gateways, which is
    * needed while the ledger holds a sum: a sum does not list its gateways.
    * @param index Less than @p gateways. @param gateways At least 1. */
@@ -138,9 +135,6 @@
   EngineRange PreferredRange(const NodeId& self) const;
   /** @return True if @p hash selects @p self among all gateways. */
   bool IsChosenByHash(const NodeId& self, uint64_t hash) const;
-  /** @return Requests and repeats of the other gateways to a service, for its
-   * retry budget. */
-  RepeatCount ReportedRepeats(const std::string& service) const;
   /** @return Streams of short prompts in progress at all gateways. */
   int64_t ShortStreams() const;
   /** @return Prefill that long prompts at all gateways demand, in milliseconds
--- a/src/coordination/gateway/load_sum.cc
+++ b/src/coordination/gateway/load_sum.cc
@@ -8,11 +8,6 @@
   totals_.short_streams_ += sign * load.short_streams_;
   totals_.long_prefill_ms_ += sign * load.long_prefill_ms_;
   totals_.long_tokens_ += sign * load.long_tokens_;
-  for (const ServiceRepeats& row : load.repeats_) {
-    RepeatCount& count = repeats_[row.service_];
-    count.requests_ += sign * row.requests_;
-    count.repeats_ += sign * row.repeats_;
-  }
 }
 
 void LoadSum::AddRow(const TargetLoadRow& row, int64_t sign) {
@@ -33,10 +28,6 @@
       load.rows_.push_back(row);
     }
   }
-  for (const auto& [service, count] : repeats_) {
-    load.repeats_.push_back(
-        ServiceRepeats{service, count.requests_, count.repeats_});
-  }
   return load;
 }
 
--- a/src/coordination/gateway/load_sum.h
+++ b/src/coordination/gateway/load_sum.h
@@ -2,9 +2,7 @@
 #pragma once
 
 #include <map>
-#include <string>
 
-#include "coordination/gateway/retry_window.h"
 #include "protocol/registry_messages.h"
 
 namespace gv {
@@ -34,9 +32,8 @@
   void AddTotals(const GatewayLoad& load, int64_t sign);
   void AddRow(const TargetLoadRow& row, int64_t sign);
 
-  GatewayLoad totals_;  ///< All fields but rows_ and repeats_.
-  std::map<TargetId, TargetLoadRow> rows_;      ///< Sums by target.
-  std::map<std::string, RepeatCount> repeats_;  ///< Sums by service.
+  GatewayLoad totals_;                      ///< All fields but rows_.
+  std::map<TargetId, TargetLoadRow> rows_;  ///< Sums by target.
 };
 
 }  // namespace gv
--- a/src/coordination/gateway/registry_core.cc
+++ b/src/coordination/gateway/registry_core.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <type_traits>
 
+#include "coordination/gateway/retry_entry.h"
+
 namespace gv {
 
 RegistryCore::RegistryCore(RegistrySettings settings)
@@ -52,6 +54,8 @@
         } else if constexpr (std::is_same_v<T, ChangeOutcome>) {
           OnOutcome(body.operation_, body.accepted_, OperationState::kAccepted,
                     0);
+        } else if constexpr (std::is_same_v<T, RetryAsk>) {
+          OnRetryAsk(now, in.from_, body, out);
         } else if constexpr (std::is_same_v<T, ReadForward>) {
           OnRead(now, in.from_, body, out);
         } else if constexpr (std::is_same_v<T, ReadOutcome>) {
@@ -84,6 +88,7 @@
     }
   }
   ExpireOperations(now, out);
+  TickRetries(now, out);
 }
 
 bool RegistryCore::IsActiveLeader(TimePoint now) const {
@@ -112,6 +117,8 @@
 
 void RegistryCore::ApplyCommitted(TimePoint now, Outbox& out) {
   if (auto snapshot = replica_->TakeInstalledSnapshot()) {
+    // A snapshot does not tell when permits of retries were given out.
+    retries_known_at_ = now + RetryReserve(settings_.retries_).Span();
     const Result<void> decoded = committed_.PutEncoded(*snapshot);
     if (!decoded.has_value()) {
       Record(EventId::kBadInput, decoded.error().detail_, out);
@@ -121,7 +128,12 @@
   for (const LogEntry& entry : entries) {
     last_applied_ = entry.index_;
     log_bytes_ += EntryBytes(entry);
-    if (entry.kind_ == EntryKind::kCommand) {
+    const auto retries = entry.kind_ == EntryKind::kCommand
+                             ? DecodeRetryEntry(entry.payload_)
+                             : std::nullopt;
+    if (retries) {
+      OnRetryEntry(now, entry, retries->service_, retries->permits_, out);
+    } else if (entry.kind_ == EntryKind::kCommand) {
       const Result<void> decoded = committed_.PutEncoded(entry.payload_);
       if (!decoded.has_value()) {
         Record(EventId::kBadInput, decoded.error().detail_, out);
--- a/src/coordination/gateway/registry_core.h
+++ b/src/coordination/gateway/registry_core.h
@@ -11,6 +11,7 @@
 #include "coordination/gateway/configuration_store.h"
 #include "coordination/gateway/lease_wait.h"
 #include "coordination/gateway/registry_type.h"
+#include "coordination/gateway/retry_reserve.h"
 #include "coordination/gateway/target_directory.h"
 #include "coordination/replica_core.h"
 #include "protocol/outbox.h"
@@ -71,6 +72,8 @@
    * runs; empty until a leader has confirmed it. */
   const ConfigurationStore& ServedConfiguration() const { return served_; }
   const TargetDirectory& Targets() const { return targets_; }
+  /** @return The limit of retries at each service. */
+  const RetryBounds& RetryBudget() const { return settings_.retries_; }
   /** @return Number of gateways in the list, this one included. At least 1. */
   size_t NodeCount() const { return nodes_.empty() ? 1 : nodes_.size(); }
   /** @return All known gateways except this one. */
@@ -105,6 +108,21 @@
     OperationId operation_;  ///< Id of the request, copied to the answer.
   };
 
+  /** A gateway that asked for a permit. */
+  struct RetryAsker {
+    Endpoint from_;          ///< Who asked.
+    OperationId operation_;  ///< Copied to the reply.
+  };
+  /** Retries at one service that the slack pays for. */
+  struct ServiceRetries {
+    explicit ServiceRetries(const RetryBounds& bounds) : reserve_(bounds) {}
+    RetryReserve reserve_;              ///< Permits of committed entries.
+    std::vector<RetryAsker> waiting_;   ///< For the next entry.
+    std::vector<RetryAsker> proposed_;  ///< In the entry at index_.
+    LogIndex index_;                    ///< Of the proposed entry.
+    Term term_;                         ///< Of the proposed entry.
+  };
+
   // registry_core.cc: dispatch, operations, committed entries.
   void OnTick(TimePoint now, Outbox& out);
   void Dispatch(TimePoint now, const Envelope& in, Outbox& out);
@@ -145,6 +163,20 @@
   void UpdateMembership(TimePoint now, Outbox& out);
   std::optional<MembershipChange> NextMembershipChange(TimePoint now) const;
 
+  // registry_retries.cc: permits of retries.
+  ServiceRetries& RetriesOf(const std::string& service);
+  void OnRetryAsk(TimePoint now, const Endpoint& from, const RetryAsk& ask,
+                  Outbox& out);
+  void ProposeRetries(TimePoint now, const std::string& service,
+                      ServiceRetries& retries, Outbox& out);
+  void OnRetryEntry(TimePoint now, const LogEntry& entry,
+                    const std::string& service, size_t permits, Outbox& out);
+  void RefuseRetries(const std::string& service, ServiceRetries& retries,
+                     Outbox& out);
+  void TickRetries(TimePoint now, Outbox& out);
+  void AnswerRetry(const std::string& service, const RetryAsker& asker,
+                   bool granted, Outbox& out) const;
+
   // registry_targets.cc: registrations and their replication.
   void OnGossip(TimePoint now, const NodeId& from, const TargetGossip& gossip,
                 Outbox& out);
@@ -198,6 +230,10 @@
   TimePoint leader_since_;            ///< When this replica became the leader.
   bool pushed_ = true;  ///< committed_ has been pushed to the pollers.
 
+  std::map<std::string, ServiceRetries> retries_;  ///< By service.
+  /** Until then, permits given out before a snapshot may still be used. */
+  TimePoint retries_known_at_;
+
   TargetDirectory targets_;
   std::set<TargetId> refreshed_;  ///< Refreshed targets for the next batch.
   std::set<TargetId> changed_;    ///< Changed targets for the next batch.
--- a/src/coordination/gateway/registry_type.h
+++ b/src/coordination/gateway/registry_type.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/gateway/retry_budget_type.h"
 #include "coordination/replica_type.h"
 #include "protocol/registry_messages.h"
 #include "state/clock_type.h"
@@ -82,7 +83,8 @@
   int64_t tolerated_losses_ = 1;  ///< Members that may fail at the same time.
   /** Longest time for which a gateway may serve a replaced configuration. */
   Duration revocation_bound_{5000};
-  uint64_t seed_ = 0;  ///< Operation ids count up from half of it.
+  uint64_t seed_ = 0;    ///< Operation ids count up from half of it.
+  RetryBounds retries_;  ///< Of each service.
 };
 
 /** Result of an operation that was sent to the leader. */
--- a/src/protocol/message.cc
+++ b/src/protocol/message.cc
@@ -96,5 +96,7 @@
 template Message::Message(TargetsHeard);
 template Message::Message(TargetsSilent);
 template Message::Message(TargetQuery);
+template Message::Message(RetryAsk);
+template Message::Message(RetryReply);
 
 }  // namespace gv
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -52,7 +52,8 @@
     GroupHeld, TargetReserve, TargetReserved, RegistryPoll, RegistryStatus,
     ConfigurationPush, TargetGossip, ChangeForward, ChangeOutcome, ReadForward,
     ReadOutcome, GatewayLoad, PromptAsk, PromptPlaced, PromptRefused,
-    PromptStep, PromptQueued, TargetsHeard, TargetsSilent, TargetQuery>;
+    PromptStep, PromptQueued, TargetsHeard, TargetsSilent, TargetQuery,
+    RetryAsk, RetryReply>;
 
 /** True for the types that are alternatives of Variant. */
 template <class T, class Variant>
--- a/src/protocol/registry_messages.h
+++ b/src/protocol/registry_messages.h
@@ -105,7 +105,7 @@
   int64_t granted_prefill_ms_ = 0;  ///< Prefill of those, not yet done.
 };
 
-/** Requests of one gateway to one service, as its retry budget counts them. */
+/** Not sent any more; neighbouring versions send it. */
 struct ServiceRepeats {
   std::string service_;   ///< Name of the service.
   int64_t requests_ = 0;  ///< Of callers, in the window of the budget.
@@ -119,7 +119,7 @@
   int64_t short_streams_ = 0;        ///< Streams of short prompts in progress.
   int64_t long_prefill_ms_ = 0;      ///< Prefill of long prompts, last second.
   int64_t long_tokens_ = 0;          ///< KV memory of long prompts in progress.
-  std::vector<ServiceRepeats> repeats_;  ///< Of services with requests.
+  std::vector<ServiceRepeats> repeats_;  ///< Always empty in this version.
   int64_t summed_ =
       0;  ///< Gateways summed up in it; zero for the sender alone.
 };
@@ -164,6 +164,18 @@
   OperationId operation_;  ///< Copied.
 };
 
+/** A gateway to the leader: a failed request wants another target. */
+struct RetryAsk {
+  OperationId operation_;  ///< Chosen by the gateway.
+  std::string service_;    ///< Service whose budget pays.
+};
+
+/** The leader to a gateway: whether the request may be sent once more. */
+struct RetryReply {
+  OperationId operation_;  ///< Copied.
+  bool granted_ = false;   ///< Permits one retry.
+};
+
 /** How an attempt at a target ended, as far as its health is concerned. */
 enum class HealthOutcome : uint8_t {
   kUnknown,      ///< Nothing was seen; the caller left, or it was not sent.
--- a/src/state/event_type.h
+++ b/src/state/event_type.h
@@ -64,6 +64,8 @@
   kForwardAbandoned = 617,
   kForwardHeld = 618,
   kForwardNotRetried = 619,
+  kRetryGranted = 626,
+  kRetryRefused = 627,
   kTargetSuspected = 620,
   kTargetTrusted = 621,
   kTargetPaused = 625,
--- a/src/state/table/events.h
+++ b/src/state/table/events.h
@@ -19,7 +19,7 @@
   std::string_view meaning_;  ///< For people.
 };
 
-inline constexpr std::array<EventRow, 65> kEvents{{
+inline constexpr std::array<EventRow, 67> kEvents{{
     {EventId::kProcessStarted, "process-started", EventLevel::kInfo,
      "A process started with its roles."},
     {EventId::kProcessStopping, "process-stopping", EventLevel::kInfo,
@@ -120,6 +120,10 @@
      "An attempt failed and another target is tried."},
     {EventId::kForwardNotRetried, "forward-not-retried", EventLevel::kInfo,
      "An attempt failed and no other target is tried; with the budget."},
+    {EventId::kRetryGranted, "retry-granted", EventLevel::kDebug,
+     "The leader permits a gateway one retry from the slack of the budget."},
+    {EventId::kRetryRefused, "retry-refused", EventLevel::kInfo,
+     "The leader does not permit a gateway a retry."},
     {EventId::kForwardResumed, "forward-resumed", EventLevel::kInfo,
      "A broken stream goes on at another target."},
     {EventId::kForwardFinished, "forward-finished", EventLevel::kDebug,
--- a/src/transport/gateway/forward.cc
+++ b/src/transport/gateway/forward.cc
@@ -227,6 +227,9 @@
     gateway_.Ledger().End(*work_id_);
     work_id_.reset();
   }
+  if (retry_ask_) {
+    gateway_.ForgetRetryAsk(*retry_ask_);
+  }
   EndLeaderRequest();
   ReleaseTickets();
   gateway_.OnForwardEnded(*this);
@@ -270,6 +273,10 @@
     }
     return;
   }
+  CheckRetryAsk(now);
+  if (ended_) {
+    return;
+  }
   CheckLeaderTimeouts(now);
   if (ended_) {
     return;
@@ -282,9 +289,7 @@
   Event event;
   event.id_ = id;
   event.team_ = TeamId(customer_);
-  if (attempt_) {
-    event.target_ = attempt_->target_;
-  }
+  event.target_ = last_target_;
   event.detail_ =
       "attempt=" + facts_.attempt_ + " route=" + route_.name_ + " " + detail;
   gateway_.Record(event);
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -67,6 +67,12 @@
     bool is_streamed_ = false;
   };
 
+  /** A failed attempt, after which another target may be tried. */
+  struct FailedAttempt {
+    AttemptEnd end_;      ///< Whether it ran.
+    std::string reason_;  ///< For log lines and the final answer.
+  };
+
   // forward.cc: admission, refusal and end of the request.
   void AdmitAndPlace();
   bool CanAdmit() const;
@@ -105,6 +111,17 @@
   AttemptHistory History() const;
   void FinishWithoutRetry(const AttemptEnd& end, const std::string& reason);
 
+  // forward_retry.cc: permits for retries.
+  void RetryOrFinish(const AttemptEnd& end, const std::string& reason);
+  bool HasRetryPermit();
+  bool AskForRetryPermit();
+  void OnRetryReply(bool granted);
+  void CheckRetryAsk(TimePoint now);
+  void ReturnPlacement();
+  void Retry();
+  void DoNotRetry(const char* cause);
+  std::string RetryDetail() const;
+
   // forward_answer.cc: delivery of the answer to the caller.
   void PassEvents(const std::string& data);
   void BeginAnswer();
@@ -152,7 +169,16 @@
   std::vector<TargetId> tried_;
   size_t helper_count_ = 0;   ///< Helpers of the latest attempt.
   int64_t sent_ = 0;          ///< Attempts sent to a target.
+  int64_t reached_ = 0;       ///< Sent attempts that may have reached a target.
   int64_t may_have_run_ = 0;  ///< Sent attempts that the target may have run.
+  std::optional<FailedAttempt> failed_;  ///< Latest failed attempt.
+  /** The latest attempt failed, and the leader is asked for a permit. */
+  bool waiting_for_permit_ = false;
+  std::optional<OperationId> retry_ask_;  ///< Open at the leader.
+  TimePoint retry_ask_deadline_;          ///< When it counts as refused.
+  TimePoint next_retry_ask_;  ///< Earliest ask for a silent attempt.
+  /** End of the permit for one retry. */
+  TimePoint retry_permit_until_;
   /** Splits the event stream and drops events that the caller already has. */
   EventSplitter events_;
   /** Latest failure answer given by a target itself. */
--- a/src/transport/gateway/forward_answer.cc
+++ b/src/transport/gateway/forward_answer.cc
@@ -146,13 +146,16 @@
   const bool may_repeat =
       IsRepeatable(route_.kind_, route_.resumable_) &&
       MayRetry(History(), AttemptEnd{RunState::kMayHaveRun, false});
-  // Without retry budget the attempt is kept, as the current target may still
+  if (!may_repeat || caller_->Unsent() >= kMaxUnsentBytes ||
+      now - attempt_->last_progress_ <= ProgressTimeout()) {
+    return;
+  }
+  // Without a permit the attempt is kept, as the current target may still
   // answer.
-  if (may_repeat && caller_->Unsent() < kMaxUnsentBytes &&
-      now - attempt_->last_progress_ > ProgressTimeout() &&
-      gateway_.Retries(service_.name_)
-          .HasRetryBudget(now, gateway_.Registry().NodeCount())) {
+  if (HasRetryPermit()) {
     AbandonAttempt("silent");
+  } else if (now >= next_retry_ask_) {
+    AskForRetryPermit();
   }
 }
 
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -110,6 +110,11 @@
     PlaceElsewhere(placement.target_);
     return;
   }
+  if (!HasRetryPermit()) {
+    ReturnPlacement();
+    return;
+  }
+  retry_permit_until_ = TimePoint();
   const DirectoryEntry* entry =
       gateway_.Registry().Targets().Find(placement.target_);
   const bool run_once = !IsRepeatable(route_.kind_, route_.resumable_);
@@ -126,6 +131,7 @@
   work_id_ = gateway_.Ledger().Begin(now, placement.work_);
   helper_count_ = placement.helpers_.size();
   ++sent_;
+  ++reached_;
   ++may_have_run_;
   Log(EventId::kForwardSent,
       "tries=" + std::to_string(sent_) + " service=" + service_.name_ +
@@ -289,6 +295,7 @@
   gateway_.Ledger().End(*work_id_);
   work_id_.reset();
   if (end == ExchangeEnd::kNotConnected) {
+    --reached_;
     --may_have_run_;
     OnAttemptFailed(AttemptEnd{RunState::kNotRun, false},
                     HealthOutcome::kUnreachable, "not-connected");
@@ -358,30 +365,7 @@
   if (end.has_answer_) {
     target_failure_ = TakeWholeAnswer();
   }
-  const TimePoint now = gateway_.Now();
-  const size_t gateways = gateway_.Registry().NodeCount();
-  RetryWindow& window = gateway_.Retries(service_.name_);
-  const std::string detail =
-      "reason=" + reason + " sent=" + std::to_string(sent_) +
-      " events=" + std::to_string(events_.Count()) +
-      " service=" + service_.name_ + " " + window.Describe(now, gateways) +
-      " reports_age_ms=" +
-      std::to_string(gateway_.Ledger().OldestReportAge(now).Ms());
-  const bool may_retry = MayRetry(History(), end);
-  if (!may_retry || !window.ConsumeRetryBudget(now, gateways)) {
-    Log(EventId::kForwardNotRetried,
-        std::string("cause=") + (may_retry ? "budget " : "limits ") + detail);
-    FinishWithoutRetry(end, reason);
-    return;
-  }
-  Log(answer_begun_ ? EventId::kForwardResumed : EventId::kForwardRetried,
-      detail);
-  attempt_.reset();
-  events_.DiscardPartialEvent();
-  EndLeaderRequest();
-  skip_leader_ = false;
-  ReleaseTickets();
-  StartAttempt();
+  RetryOrFinish(end, reason);
 }
 
 void Forward::AbandonAttempt(const std::string& reason) {
--- a/src/transport/gateway/gateway.cc
+++ b/src/transport/gateway/gateway.cc
@@ -42,6 +42,9 @@
   // may still arrive.
   const std::string start =
       settings.listen_peers_ + "/" + std::to_string(WallMs());
+  registry.retries_.ratio_ = settings.gateway_retry_ratio_;
+  registry.retries_.window_ = Duration(settings.gateway_retry_window_ms_);
+  registry.retries_.slack_ = settings.gateway_retry_slack_;
   registry.seed_ = XXH3_64bits(start.data(), start.size());
   return registry;
 }
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -20,7 +20,7 @@
 #include "coordination/gateway/placement.h"
 #include "coordination/gateway/prompt_scheduler.h"
 #include "coordination/gateway/registry_core.h"
-#include "coordination/gateway/retry_window.h"
+#include "coordination/gateway/retry_allowance.h"
 #include "coordination/gateway/routing_table.h"
 #include "coordination/gateway/target_health.h"
 #include "state/process_settings.h"
@@ -63,7 +63,8 @@
   const Placer& GetPlacer() const { return placer_; }
   LoadLedger& Ledger() { return ledger_; }
   TargetPool& Pool() { return pool_; }
-  RetryWindow& Retries(const std::string& service);
+  /** @return Retries that this gateway may permit itself at a service. */
+  RetryAllowance& Retries(const std::string& service);
   bool IsStopping() const { return stopping_; }
   /** @return Requests that wait for the lease of this gateway. */
   HeldWork& HeldRequests() { return held_requests_; }
@@ -113,6 +114,15 @@
   /** Tells the leader how a prompt goes on. @param target Where it ended. */
   void ReportPromptProgress(OperationId operation, bool ended,
                             const TargetId& target, HealthOutcome outcome);
+  /**
+   * Asks the leader whether a request may be sent once more.
+   * @param done Called once, unless there is no answer.
+   * @return For ForgetRetryAsk.
+   */
+  OperationId AskForRetry(const std::string& service,
+                          std::function<void(bool)> done);
+  /** The answer is not needed any more. Ignores unknown ids. */
+  void ForgetRetryAsk(OperationId operation) { retry_asks_.erase(operation); }
   /** Posts an order to a target. @param done Gets its status, or 0. */
   void SendOrder(const std::string& address, const TargetOrder& order,
                  std::function<void(unsigned)> done);
@@ -187,6 +197,9 @@
   void HandlePlacementReply(OperationId operation, const Message& body);
   void SendSchedulerReplies();
 
+  // gateway_retries.cc: budget of retries.
+  void OnRetryReply(const RetryReply& reply);
+
   // gateway_orders.cc: orders to targets.
   void FinishOrder(uint64_t id);
   void TickOrders(TimePoint now);
@@ -206,11 +219,13 @@
   std::optional<RoutingTable> table_;  ///< Of the served configuration.
   uint64_t table_version_ = 0;         ///< Of table_.
   KnownRoutes known_routes_;           ///< Of the newest that was decoded.
-  std::map<std::string, RetryWindow> retries_;  ///< By service.
-  std::unique_ptr<PeerNetwork> peers_;          ///< Other gateways.
-  std::unique_ptr<FileDisk> disk_;              ///< Of the replica, or null.
-  uint64_t disk_number_ = 0;  ///< Counts openings of the disk.
-  TimePoint reopen_disk_;     ///< When to try again; Never if open.
+  std::map<std::string, RetryAllowance> retries_;  ///< By service.
+  std::map<OperationId, std::function<void(bool)>>
+      retry_asks_;                      ///< Open at a leader.
+  std::unique_ptr<PeerNetwork> peers_;  ///< Other gateways.
+  std::unique_ptr<FileDisk> disk_;      ///< Of the replica, or null.
+  uint64_t disk_number_ = 0;            ///< Counts openings of the disk.
+  TimePoint reopen_disk_;               ///< When to try again; Never if open.
 
   boost::asio::ip::tcp::acceptor acceptor_;  ///< For callers.
   HttpService readiness_;                    ///< For the balancer.
--- a/src/transport/gateway/gateway_registry.cc
+++ b/src/transport/gateway/gateway_registry.cc
@@ -98,6 +98,10 @@
 }
 
 void Gateway::Step(const Envelope& in) {
+  if (const auto* reply = std::get_if<RetryReply>(&in.body_)) {
+    OnRetryReply(*reply);
+    return;
+  }
   Outbox out(Endpoint{self_, Port::kControl});
   registry_.OnMessage(Now(), in, out);
   CarryOut(out);
@@ -179,20 +183,11 @@
   ledger_.SetGatewayIndex(static_cast<size_t>(place), others.size() + 1);
   ledger_.ExpireOverduePrefill(now);
   GatewayLoad load = ledger_.OwnReport(now);
-  for (auto& [service, window] : retries_) {
-    window.SetRemoteCounts(now, ledger_.ReportedRepeats(service),
-                           ledger_.ReporterCount());
-    const RepeatCount own = window.OwnReport(now);
-    if (own.requests_ > 0 || own.repeats_ > 0) {
-      load.repeats_.push_back(
-          ServiceRepeats{service, own.requests_, own.repeats_});
-    }
-  }
   if (has_leader && registry_.Leader() == self_) {
     SendSums(load);
     return;
   }
-  const bool empty = load.rows_.empty() && load.repeats_.empty();
+  const bool empty = load.rows_.empty();
   if (empty && load_sent_empty_) {
     return;
   }
@@ -221,16 +216,4 @@
   }
 }
 
-RetryWindow& Gateway::Retries(const std::string& service) {
-  const auto found = retries_.find(service);
-  if (found != retries_.end()) {
-    return found->second;
-  }
-  RetryBounds bounds;
-  bounds.ratio_ = settings_.gateway_retry_ratio_;
-  bounds.window_ = Duration(settings_.gateway_retry_window_ms_);
-  bounds.slack_ = settings_.gateway_retry_slack_;
-  return retries_.emplace(service, RetryWindow(bounds)).first->second;
-}
-
 }  // namespace gv
--- a/tests/gateway_attempt_test.cc
+++ b/tests/gateway_attempt_test.cc
@@ -1,10 +1,9 @@
-/** @file gateway_attempt_test.cc Tests of the retry policy, the retry budget
- * and the order of events in a stream. */
+/** @file gateway_attempt_test.cc Tests of the retry policy and of the order of
+ * events in a stream. */
 #include <doctest/doctest.h>
 
 #include "coordination/gateway/attempt_policy.h"
 #include "coordination/gateway/event_splitter.h"
-#include "coordination/gateway/retry_window.h"
 
 namespace gv {
 namespace {
@@ -75,75 +74,6 @@
   CHECK_FALSE(MayRetry(stream, kUnknown));
 }
 
-TEST_CASE("retry window: the sum over gateways stays within the limit") {
-  // Peak load: each gateway gets 20 requests a second, all of which fail.
-  constexpr size_t kGateways = 6;
-  const RetryBounds bounds{0.2, 10_s, 106};
-  std::vector<RetryWindow> windows(kGateways, RetryWindow(bounds));
-  int64_t requests = 0;
-  int64_t repeats = 0;
-  for (TimePoint now(0); now < TimePoint(10000); now = now + 50_ms) {
-    for (RetryWindow& window : windows) {
-      window.OnRequest(now);
-      ++requests;
-      repeats += window.ConsumeRetryBudget(now, kGateways) ? 1 : 0;
-    }
-  }
-  const double limit = 0.2 * static_cast<double>(requests) + 106;
-  CHECK(static_cast<double>(repeats) <= limit);
-  CHECK(static_cast<double>(repeats) >= limit / 2);
-}
-
-TEST_CASE("retry window: a gateway may use the budget that others leave") {
-  // Guards against streams of failed engines that are not retried and wait
-  // until their deadline, because one gateway of 31 has spent its own share of
-  // the budget (grown Tilecarvers scale-1, second 14).
-  constexpr size_t kGateways = 31;
-  const RetryBounds bounds{0.2, 10_s, 138};
-  RetryWindow window(bounds);
-  int64_t repeats = 0;
-  window.SetRemoteCounts(TimePoint(0), RepeatCount{900, 0}, kGateways - 1);
-  for (int i = 0; i < 60; ++i) {
-    window.OnRequest(TimePoint(0));
-    repeats += window.ConsumeRetryBudget(TimePoint(0), kGateways) ? 1 : 0;
-  }
-  CHECK(repeats == 60);
-  // Without fresh reports of all others it is limited to its own share.
-  CHECK_FALSE(window.HasRetryBudget(TimePoint(2000), kGateways));
-  window.SetRemoteCounts(TimePoint(2000), RepeatCount{900, 0}, kGateways - 2);
-  CHECK_FALSE(window.HasRetryBudget(TimePoint(2000), kGateways));
-}
-
-TEST_CASE("retry window: the sum stays within the limit with delayed reports") {
-  constexpr size_t kGateways = 31;
-  const RetryBounds bounds{0.2, 10_s, 138};
-  std::vector<RetryWindow> windows(kGateways, RetryWindow(bounds));
-  int64_t requests = 0;
-  int64_t repeats = 0;
-  // All requests fail immediately at all gateways; reports are 200 ms old.
-  for (TimePoint now(0); now < TimePoint(10000); now = now + 200_ms) {
-    std::vector<RepeatCount> reports;
-    reports.reserve(kGateways);
-    for (RetryWindow& window : windows) {
-      reports.push_back(window.OwnReport(now));
-    }
-    for (size_t i = 0; i < kGateways; ++i) {
-      RepeatCount others;
-      for (size_t j = 0; j < kGateways; ++j) {
-        others.requests_ += j == i ? 0 : reports[j].requests_;
-        others.repeats_ += j == i ? 0 : reports[j].repeats_;
-      }
-      windows[i].SetRemoteCounts(now, others, kGateways - 1);
-      windows[i].OnRequest(now);
-      ++requests;
-      repeats += windows[i].ConsumeRetryBudget(now, kGateways) ? 1 : 0;
-    }
-  }
-  const double limit = 0.2 * static_cast<double>(requests) + 138;
-  CHECK(static_cast<double>(repeats) <= limit);
-  CHECK(static_cast<double>(repeats) >= limit / 2);
-}
-
 TEST_CASE("event splitter: complete events pass once each and in order") {
   EventSplitter events(std::nullopt);
   CHECK(events.Add("id: 1\ndata: a\n").empty());
--- a/tests/support/registry_group.cc
+++ b/tests/support/registry_group.cc
@@ -9,8 +9,9 @@
 
 }  // namespace
 
-RegistryGroup::RegistryGroup(size_t with_disk, size_t without, uint64_t seed)
-    : link_(seed) {
+RegistryGroup::RegistryGroup(size_t with_disk, size_t without, uint64_t seed,
+                             RetryBounds retries)
+    : link_(seed), retries_(retries) {
   for (size_t i = 1; i <= with_disk; ++i) {
     seeds_.emplace_back("d" + std::to_string(i));
   }
@@ -51,6 +52,7 @@
   settings.has_disk_ = host.has_disk_;
   settings.seed_ =
       std::hash<std::string>()(name + std::to_string(++host.starts_));
+  settings.retries_ = retries_;
   host.core_ = std::make_unique<RegistryCore>(settings);
   host.next_tick_ = now_;
   if (!host.has_disk_) {
@@ -98,7 +100,10 @@
     now_ = now_ + Duration(1);
     for (const Envelope& envelope : link_.TakeDue(now_)) {
       RegistryHost& host = Host(envelope.to_.node_.Value());
-      if (host.core_) {
+      const auto* reply = std::get_if<RetryReply>(&envelope.body_);
+      if (reply != nullptr) {
+        host.retry_replies_.push_back(*reply);
+      } else if (host.core_) {
         Step(host, envelope);
       }
     }
@@ -189,6 +194,15 @@
   CarryOut(host, out);
 }
 
+void RegistryGroup::AskForRetry(const std::string& at, const RetryAsk& ask) {
+  RegistryHost& host = Host(at);
+  if (host.core_ && !host.core_->Leader().IsNone()) {
+    Outbox out(Endpoint{host.node_, Port::kControl});
+    out.Send({host.core_->Leader(), Port::kControl}, ask);
+    CarryOut(host, out);
+  }
+}
+
 void RegistryGroup::Depart(const std::string& at, const std::string& id) {
   RegistryHost& host = Host(at);
   Outbox out(Endpoint{host.node_, Port::kControl});
--- a/tests/support/registry_group.h
+++ b/tests/support/registry_group.h
@@ -22,9 +22,10 @@
   TimePoint sync_at_ = TimePoint::Never();  ///< End of the sync in progress.
   TimePoint next_tick_;  ///< Next Tick, on the group's clock.
   std::vector<OperationResult>
-      completed_operations_;  ///< Completed since the last crash.
-  uint64_t starts_ = 0;       ///< Number of starts so far.
-  Duration clock_offset_;     ///< Time by which its clock is ahead.
+      completed_operations_;               ///< Completed since the last crash.
+  std::vector<RetryReply> retry_replies_;  ///< Since they were taken.
+  uint64_t starts_ = 0;                    ///< Number of starts so far.
+  Duration clock_offset_;  ///< Time by which its clock is ahead.
 };
 
 /** A cluster of simulated gateways. Thread safety: none. */
@@ -34,8 +35,10 @@
    * @param with_disk Number of gateways with a disk; they are named d1, d2 and
    * so on, and are the first seeds.
    * @param without Number of gateways without a disk, named e1, e2 and so on.
-   * @param seed For the random faults of the links. */
-  RegistryGroup(size_t with_disk, size_t without, uint64_t seed);
+   * @param seed For the random faults of the links.
+   * @param retries Limit of retries at each service. */
+  RegistryGroup(size_t with_disk, size_t without, uint64_t seed,
+                RetryBounds retries = {});
 
   RegistryHost& Host(const std::string& name) { return hosts_.at(name); }
   RegistryCore& Core(const std::string& name) { return *Host(name).core_; }
@@ -67,6 +70,8 @@
   void Register(const std::string& at, const TargetRegistration& target);
   /** Deregisters a target at the gateway @p at. */
   void Depart(const std::string& at, const std::string& id);
+  /** Asks the leader that @p at knows, if any, for a permit of a retry. */
+  void AskForRetry(const std::string& at, const RetryAsk& ask);
   /** @return The time on the clock of @p host. */
   TimePoint NowOf(const RegistryHost& host) const {
     return now_ + host.clock_offset_;
@@ -82,6 +87,7 @@
   void Step(RegistryHost& host, const Envelope& in);
   OperationResult WaitFor(RegistryHost& host, OperationId id);
 
+  RetryBounds retries_;      ///< Of all gateways.
   uint64_t disks_ = 100;     ///< Identity of the newest disk.
   bool first_start_ = true;  ///< True in the constructor only.
 };
--- a/tests/support/retry_rule.h
+++ b/tests/support/retry_rule.h
@@ -8,8 +8,9 @@
 
 namespace gv {
 
-/** Requests of callers and retries at one service over all gateways. Times are
- * added in ascending order. */
+/** Requests of callers and arrivals of retries at one service over all
+ * gateways. Requests are added in ascending order. Thread safety: one thread.
+ */
 class RetryRule {
  public:
   RetryRule(double ratio, Duration window, double slack)
@@ -23,14 +24,16 @@
    * limit holds. The requests are those of the window, of the one before, or of
    * the one half a window before, whichever has most. */
   double WorstExcess() const {
+    std::vector<TimePoint> retries = retries_;
+    std::sort(retries.begin(), retries.end());
     double worst = -slack_;
-    for (const TimePoint begin : retries_) {
+    for (const TimePoint begin : retries) {
       const int64_t requests =
           std::max({Count(requests_, begin), Count(requests_, begin - window_),
                     Count(requests_, begin - window_ / 2)});
       const double limit = ratio_ * static_cast<double>(requests) + slack_;
       worst =
-          std::max(worst, static_cast<double>(Count(retries_, begin)) - limit);
+          std::max(worst, static_cast<double>(Count(retries, begin)) - limit);
     }
     return worst;
   }
