--- a/src/state/ids_type.h
+++ b/src/state/ids_type.h
@@ -16,6 +16,8 @@
     TypedName<struct ModelTag>;  ///< A model, or the name of a plain service.
 using ChangeId =
     TypedName<struct ChangeTag>;  ///< Chosen by an operator for one change.
+using PromptPartId =
+    TypedName<struct PromptPartTag>;  ///< A part that several prompts share.
 using IdempotencyKey =
     TypedName<struct IdempotencyTag>;  ///< Chosen by a caller for one request.
 
--- a/src/transport/gateway/forward_retry.cc
+++ b/src/transport/gateway/forward_retry.cc
@@ -118,11 +118,16 @@
 
 std::string Forward::RetryDetail() const {
   const TimePoint now = gateway_.Now();
+  std::string parts;
+  for (const PromptPartId& part : facts_.shared_parts_) {
+    parts += (parts.empty() ? " parts=" : ",") + part.Value();
+  }
   return "reason=" + failed_->reason_ + " sent=" + std::to_string(sent_) +
          " reached=" + std::to_string(reached_) +
          " events=" + std::to_string(events_.Count()) +
          " service=" + service_.name_ + " unspent=" +
-         std::to_string(gateway_.Retries(service_.name_).UnspentRequests(now));
+         std::to_string(gateway_.Retries(service_.name_).UnspentRequests(now)) +
+         parts;
 }
 
 }  // namespace gv
--- a/src/transport/gateway/wire_codec.h
+++ b/src/transport/gateway/wire_codec.h
@@ -24,6 +24,9 @@
   std::optional<uint64_t> last_event_;  ///< Resume after this event.
   int64_t prompt_tokens_ = 0;           ///< Zero if it is no prompt.
   int64_t answer_tokens_ = 0;           ///< Most that may be written.
+  /** Parts of the prompt that other prompts may have as well: all but the
+   * last. */
+  std::vector<PromptPartId> shared_parts_;
 };
 
 /** What a gateway tells a target beside the caller's request. */
--- a/tests/platform/platform_codec_test.cc
+++ b/tests/platform/platform_codec_test.cc
@@ -174,6 +174,27 @@
   CHECK(fields["X-Other"] == "kept");
 }
 
+TEST_CASE("platform: the last part of a prompt is shared with no other") {
+  const auto parts_of = [](const std::string& list) {
+    HttpFields fields;
+    fields.set("Gooseberryvale-Prompt-Prefix", list);
+    std::string parts;
+    for (const PromptPartId& part :
+         Codec().read_caller_(fields).shared_parts_) {
+      parts += part.Value() + ";";
+    }
+    return parts;
+  };
+  CHECK(parts_of("5c1e07a2:800,91bd3f06:410,e4402b7d:250") ==
+        "5c1e07a2;91bd3f06;");
+  CHECK(parts_of("5c1e:800, 91bd:410 ,e440") == "5c1e;91bd;");
+  CHECK(parts_of("5c1e:800").empty());
+  CHECK(parts_of("").empty());
+  CHECK(parts_of(",,:7,").empty());
+  CHECK(parts_of("a,b,c") == "a;b;");
+  CHECK(parts_of(std::string(65, 'f') + ":1,a:1,b:1") == "a;");
+}
+
 TEST_CASE("platform: headers of requests and answers") {
   HttpFields fields;
   fields.set("Gooseberryvale-Token-Usage", "1460,80");
