--- a/tests/platform/scripted_target.cc
+++ b/tests/platform/scripted_target.cc
@@ -2,6 +2,7 @@
 #include "platform/scripted_target.h"
 
 #include <poll.h>
+#include <sys/socket.h>
 
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
@@ -71,13 +72,16 @@
 ScriptedTarget::ScriptedTarget(Script script)
     : script_(std::move(script)),
       acceptor_(io_, {asio::ip::address_v4::loopback(), 0}),
+      address_("127.0.0.1:" +
+               std::to_string(acceptor_.local_endpoint().port())),
       accepting_([this]() {
-        while (!stopping_) {
+        while (!stopping_ && !crashed_) {
           error_code error;
           tcp::socket socket(io_);
           acceptor_.accept(socket, error);
-          if (!error && !stopping_) {
+          if (!error && !stopping_ && !crashed_) {
             const std::scoped_lock lock(mutex_);
+            open_.push_back(socket.native_handle());
             threads_.emplace_back([this, taken = std::move(socket)]() mutable {
               Serve(std::move(taken));
             });
@@ -90,15 +94,22 @@
   asio::io_context io;
   tcp::socket wake(io);
   error_code ignored;
-  wake.connect(acceptor_.local_endpoint(), ignored);
+  if (!crashed_) {
+    wake.connect(acceptor_.local_endpoint(), ignored);
+  }
   accepting_.join();
   for (std::thread& thread : threads_) {
     thread.join();
   }
 }
 
-std::string ScriptedTarget::Address() const {
-  return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+void ScriptedTarget::Crash() {
+  crashed_ = true;
+  ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
+  const std::scoped_lock lock(mutex_);
+  for (const int descriptor : open_) {
+    ::shutdown(descriptor, SHUT_RDWR);
+  }
 }
 
 std::vector<TargetRequest> ScriptedTarget::Requests() {
@@ -107,8 +118,15 @@
 }
 
 void ScriptedTarget::Serve(tcp::socket socket) {
+  const int descriptor = socket.native_handle();
+  ServeRequests(std::move(socket));
+  const std::scoped_lock lock(mutex_);
+  std::erase(open_, descriptor);
+}
+
+void ScriptedTarget::ServeRequests(tcp::socket socket) {
   std::string input;
-  while (!stopping_) {
+  while (!stopping_ && !crashed_) {
     error_code error;
     const size_t head = asio::read_until(socket, asio::dynamic_buffer(input),
                                          "\r\n\r\n", error);
--- a/tests/platform/scripted_target.h
+++ b/tests/platform/scripted_target.h
@@ -51,21 +51,28 @@
   ~ScriptedTarget();
   ScriptedTarget(const ScriptedTarget&) = delete;
   ScriptedTarget& operator=(const ScriptedTarget&) = delete;
+  /** Breaks all connections and takes no new ones, like a crashed process.
+   * Thread safety: any thread. */
+  void Crash();
   /** @return "127.0.0.1:PORT". */
-  std::string Address() const;
+  std::string Address() const { return address_; }
   /** @return Requests so far. */
   std::vector<TargetRequest> Requests();
 
  private:
   void Serve(boost::asio::ip::tcp::socket socket);
+  void ServeRequests(boost::asio::ip::tcp::socket socket);
 
   Script script_;                            ///< Answers.
   boost::asio::io_context io_;               ///< For blocking calls.
   boost::asio::ip::tcp::acceptor acceptor_;  ///< Listens.
-  std::mutex mutex_;                         ///< Guards requests_, threads_.
+  std::mutex mutex_;                         ///< Guards the vectors.
   std::vector<TargetRequest> requests_;      ///< Everything that came.
   std::vector<std::thread> threads_;         ///< One for each connection.
+  std::vector<int> open_;                    ///< Descriptors; under mutex_.
+  std::string address_;                      ///< "127.0.0.1:PORT".
   std::atomic<bool> stopping_ = false;       ///< The test is over.
+  std::atomic<bool> crashed_ = false;        ///< By Crash().
   std::thread accepting_;                    ///< Runs the acceptor.
 };
 
