Keep prompts with a part that crashes engines away from engines

Cause: nothing related the crashes to what the requests had in common; each was retried, and its caller came back. Change: gateways tell crashed engines from broken connections, tell each other which prompts had no event there, and quarantine a part after three crashes in a row without an answer to it (pure, part_quarantine.h). Parts that cannot be told apart yet are blamed together, so sound prompts with the same customer, first part or other parts pass. Prompts under way are given up; one prompt tries again after a while.

--- a/src/coordination/gateway/registry_core.cc
+++ b/src/coordination/gateway/registry_core.cc
@@ -54,6 +54,12 @@
         } else if constexpr (std::is_same_v<T, ChangeOutcome>) {
           OnOutcome(body.operation_, body.accepted_, OperationState::kAccepted,
                     0);
+        } else if constexpr (std::is_same_v<T, EngineCrash>) {
+          parts_.OnCrash(now, body);
+        } else if constexpr (std::is_same_v<T, PartsAnswered>) {
+          parts_.OnAnswer(now, body.service_, body.parts_);
+        } else if constexpr (std::is_same_v<T, PartTable>) {
+          OnPartTable(now, in.from_, body, out);
         } else if constexpr (std::is_same_v<T, RetryAsk>) {
           OnRetryAsk(now, in.from_, body, out);
         } else if constexpr (std::is_same_v<T, ReadForward>) {
@@ -89,6 +95,7 @@
   }
   ExpireOperations(now, out);
   TickRetries(now, out);
+  TickParts(now, out);
 }
 
 bool RegistryCore::IsActiveLeader(TimePoint now) const {
--- a/src/coordination/gateway/registry_core.h
+++ b/src/coordination/gateway/registry_core.h
@@ -10,6 +10,7 @@
 
 #include "coordination/gateway/configuration_store.h"
 #include "coordination/gateway/lease_wait.h"
+#include "coordination/gateway/part_quarantine.h"
 #include "coordination/gateway/registry_type.h"
 #include "coordination/gateway/retry_reserve.h"
 #include "coordination/gateway/target_directory.h"
@@ -58,6 +59,16 @@
   /** Marks a target as gone after it deregistered. */
   void Depart(TimePoint now, const TargetId& id, Outbox& out);
 
+  /** Tells all gateways of an engine that crashed while prompts of this gateway
+   * had no answer yet. */
+  void ReportCrash(TimePoint now, EngineCrash crash, Outbox& out);
+  /** An answer to a prompt with @p parts has begun. */
+  void OnAnswerBegun(TimePoint now, const std::string& service,
+                     const std::vector<PromptPartId>& parts, Outbox& out);
+  /** @return Parts of prompts that crash engines. */
+  PartQuarantine& Parts() { return parts_; }
+  const PartQuarantine& Parts() const { return parts_; }
+
   /** @return True while no newer configuration than the one served here can
    * have been in force for longer than the revocation bound. */
   bool HasLease(TimePoint now) const { return now < lease_until_; }
@@ -177,6 +188,16 @@
   void AnswerRetry(const std::string& service, const RetryAsker& asker,
                    bool granted, Outbox& out) const;
 
+  // registry_parts.cc: parts of prompts that crash engines.
+  std::vector<Endpoint> OtherEndpoints() const;
+  void TickParts(TimePoint now, Outbox& out);
+  void ComparePartTables(TimePoint now, const NodeId& from,
+                         const RegistryStatus& status, Outbox& out);
+  void OnPartTable(TimePoint now, const Endpoint& from, const PartTable& table,
+                   Outbox& out);
+  void RecordParts(EventId id, const std::string& service,
+                   const std::vector<PromptPartId>& parts, Outbox& out) const;
+
   // registry_targets.cc: registrations and their replication.
   void OnGossip(TimePoint now, const NodeId& from, const TargetGossip& gossip,
                 Outbox& out);
@@ -234,6 +255,9 @@
   /** Until then, permits given out before a snapshot may still be used. */
   TimePoint retries_known_at_;
 
+  PartQuarantine parts_;
+  int mismatched_parts_ = 0;  ///< Polls in a row with other quarantines.
+
   TargetDirectory targets_;
   std::set<TargetId> refreshed_;  ///< Refreshed targets for the next batch.
   std::set<TargetId> changed_;    ///< Changed targets for the next batch.
--- a/src/coordination/gateway/registry_members.cc
+++ b/src/coordination/gateway/registry_members.cc
@@ -155,6 +155,7 @@
   status.nodes_digest_ = nodes_digest_;
   status.targets_digest_ = targets_.Digest();
   status.members_ = MemberIds();
+  status.parts_digest_ = parts_.Digest();
   if (status.grant_ && poll.nodes_digest_ != nodes_digest_) {
     status.nodes_.assign(nodes_.begin(), nodes_.end());
   }
@@ -201,6 +202,7 @@
     }
   }
   CompareTargetTables(from, status, out);
+  ComparePartTables(now, from, status, out);
 }
 
 void RegistryCore::ExtendLease(TimePoint now, TimePoint sent, uint64_t version,
--- a/src/coordination/gateway/registry_targets.cc
+++ b/src/coordination/gateway/registry_targets.cc
@@ -139,11 +139,7 @@
   }
   next_unreachable_repeat_ = now + kUnreachableRepeatPeriod;
   unreachable_ = report.silent_;
-  std::vector<Endpoint> receivers;
-  for (const NodeId& node : OtherNodes()) {
-    receivers.push_back(ControlEndpoint(node));
-  }
-  out.SendToAll(std::move(receivers), std::move(report));
+  out.SendToAll(OtherEndpoints(), std::move(report));
 }
 
 void RegistryCore::OnTargetsSilent(const NodeId& from,
--- a/src/protocol/message.cc
+++ b/src/protocol/message.cc
@@ -98,5 +98,8 @@
 template Message::Message(TargetQuery);
 template Message::Message(RetryAsk);
 template Message::Message(RetryReply);
+template Message::Message(EngineCrash);
+template Message::Message(PartsAnswered);
+template Message::Message(PartTable);
 
 }  // namespace gv
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -53,7 +53,7 @@
     ConfigurationPush, TargetGossip, ChangeForward, ChangeOutcome, ReadForward,
     ReadOutcome, GatewayLoad, PromptAsk, PromptPlaced, PromptRefused,
     PromptStep, PromptQueued, TargetsHeard, TargetsSilent, TargetQuery,
-    RetryAsk, RetryReply>;
+    RetryAsk, RetryReply, EngineCrash, PartsAnswered, PartTable>;
 
 /** True for the types that are alternatives of Variant. */
 template <class T, class Variant>
--- a/src/protocol/registry_messages.h
+++ b/src/protocol/registry_messages.h
@@ -30,6 +30,7 @@
   uint64_t targets_digest_ = 0;  ///< Of the targets that the sender knows.
   std::vector<NodeId> members_;  ///< Members of the registry; may be empty.
   std::vector<NodeId> nodes_;    ///< All gateways; empty if the digests agree.
+  uint64_t parts_digest_ = 0;    ///< Of the parts that the sender quarantines.
 };
 
 /** A whole configuration, from a member to a gateway that has an older one. */
@@ -176,6 +177,52 @@
   bool granted_ = false;   ///< Permits one retry.
 };
 
+/** A prompt that had no answer when its engine crashed. */
+struct CrashedPrompt {
+  std::vector<PromptPartId> parts_;  ///< That other prompts may have as well.
+  Duration running_;                 ///< From its sending to the crash.
+};
+
+/** A gateway to all others: an engine crashed. Each gateway tells of its own
+ * prompts. */
+struct EngineCrash {
+  TargetId target_;                     ///< The engine.
+  uint64_t start_ms_ = 0;               ///< Of the start that crashed.
+  std::string service_;                 ///< Its service.
+  Duration age_;                        ///< Since the crash.
+  std::vector<CrashedPrompt> prompts_;  ///< Of the sender.
+};
+
+/** A gateway to all others: answers to prompts with these parts have begun. */
+struct PartsAnswered {
+  std::string service_;              ///< Of the engine.
+  std::vector<PromptPartId> parts_;  ///< Parts that were seen in a crash.
+};
+
+/** A part of prompts that crashes engines. */
+struct QuarantinedPart {
+  std::string service_;             ///< Of the engines.
+  PromptPartId part_;               ///< The part.
+  std::vector<PromptPartId> with_;  ///< Only prompts with all of these.
+  Duration crash_age_;              ///< Since its newest crash.
+  Duration until_trial_;            ///< Negative if one is due.
+  Duration length_;                 ///< Of the quarantine.
+};
+
+/** A part of prompts that was seen in a crash and in an answer since. */
+struct AnsweredPart {
+  std::string service_;  ///< Of the engine.
+  PromptPartId part_;    ///< The part.
+  Duration age_;         ///< Since the answer.
+};
+
+/** What a gateway knows of parts that crash engines. */
+struct PartTable {
+  std::vector<QuarantinedPart> quarantined_;  ///< All of them.
+  std::vector<AnsweredPart> answered_;        ///< Recent ones.
+  bool wants_reply_ = false;  ///< The receiver sends its table back.
+};
+
 /** How an attempt at a target ended, as far as its health is concerned. */
 enum class HealthOutcome : uint8_t {
   kUnknown,      ///< Nothing was seen; the caller left, or it was not sent.
--- a/src/state/table/events.h
+++ b/src/state/table/events.h
@@ -19,7 +19,7 @@
   std::string_view meaning_;  ///< For people.
 };
 
-inline constexpr std::array<EventRow, 67> kEvents{{
+inline constexpr std::array<EventRow, 70> kEvents{{
     {EventId::kProcessStarted, "process-started", EventLevel::kInfo,
      "A process started with its roles."},
     {EventId::kProcessStopping, "process-stopping", EventLevel::kInfo,
@@ -144,6 +144,12 @@
      "Reserved memory was released."},
     {EventId::kReservationRefused, "reservation-refused", EventLevel::kInfo,
      "A target did not reserve memory for a long prompt."},
+    {EventId::kEngineCrashed, "engine-crashed", EventLevel::kInfo,
+     "An engine crashed; with the shared parts of prompts without an answer."},
+    {EventId::kPartQuarantined, "part-quarantined", EventLevel::kWarning,
+     "A part of prompts crashes engines; prompts with it are refused."},
+    {EventId::kPartAnswered, "part-answered", EventLevel::kInfo,
+     "An answer has begun to prompts with parts that were seen in a crash."},
     {EventId::kLogLinesDropped, "log-lines-dropped", EventLevel::kWarning,
      "Log lines were left out to keep the volume bounded."},
     {EventId::kSettingsReloaded, "settings-reloaded", EventLevel::kInfo,
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -20,6 +20,9 @@
 
 class Gateway;
 
+/** Reason for refusing a prompt with a part that crashes engines. */
+inline constexpr const char* kQuarantined = "part-crashes-engines";
+
 /**
  * Forwards one request: admits it, sends it to a target, retries at other
  * targets where the route allows it, and gives the caller exactly one answer.
@@ -53,7 +56,8 @@
   struct Attempt {
     /** Connection to the target. */
     std::shared_ptr<TargetConnection> connection_;
-    TargetId target_;  ///< Target that the request was sent to.
+    TargetId target_;    ///< Target that the request was sent to.
+    TimePoint sent_at_;  ///< Its start.
     /** Time of the last progress; at first the start. */
     TimePoint last_progress_;
     /** Bytes of an unstreamed answer received since last_progress_ was set. */
@@ -65,6 +69,8 @@
     std::string body_;     ///< Body of an answer that is not streamed.
     /** The answer is an event stream delivered event by event. */
     bool is_streamed_ = false;
+    bool has_event_ = false;  ///< An event of the answer has come.
+    bool is_trial_ = false;  ///< Sent after the quarantine of one of its parts.
   };
 
   /** A failed attempt, after which another target may be tried. */
@@ -95,6 +101,8 @@
   bool CanMeetObjective(const Placement& placement) const;
   void SendTo(const Placement& placement);
   void PlaceElsewhere(const TargetId& target);
+  bool IsQuarantined() const;
+  bool RefuseQuarantined();
   std::string BuildRequest(const Placement& placement) const;
   std::vector<std::string> HelperList(const Placement& placement) const;
   ExchangeHandler MakeHandler();
@@ -106,7 +114,8 @@
   void OnExchangeComplete();
   void OnAttemptFailed(const AttemptEnd& end, HealthOutcome health,
                        const std::string& reason);
-  void AbandonAttempt(const std::string& reason);
+  void AbandonAttempt(const std::string& reason,
+                      HealthOutcome health = HealthOutcome::kUnreachable);
   bool IsSignedAnswer() const;
   AttemptHistory History() const;
   void FinishWithoutRetry(const AttemptEnd& end, const std::string& reason);
--- a/src/transport/gateway/forward_answer.cc
+++ b/src/transport/gateway/forward_answer.cc
@@ -55,6 +55,9 @@
     if (!answer_begun_) {
       BeginAnswer();
     }
+    if (!std::exchange(attempt_->has_event_, true)) {
+      gateway_.OnAnswerBegun(service_.name_, facts_.shared_parts_);
+    }
     const TimePoint now = gateway_.Now();
     if (last_event_time_ != TimePoint()) {
       longest_pause_ = std::max(longest_pause_, now - last_event_time_);
@@ -143,6 +146,11 @@
   if (caller_->Unsent() < kMaxUnsentBytes / kHalves) {
     attempt_->connection_->SetPaused(false);
   }
+  if (!attempt_->has_event_ && !attempt_->is_trial_ && IsQuarantined()) {
+    // The engine drops the prompt with its connection, before it crashes.
+    AbandonAttempt(kQuarantined, HealthOutcome::kUnknown);
+    return;
+  }
   const bool may_repeat =
       IsRepeatable(route_.kind_, route_.resumable_) &&
       MayRetry(History(), AttemptEnd{RunState::kMayHaveRun, false});
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -62,7 +62,30 @@
   }
 }
 
+bool Forward::IsQuarantined() const {
+  return gateway_.Parts()
+      .UntilTrial(gateway_.Now(), service_.name_, facts_.shared_parts_)
+      .has_value();
+}
+
+bool Forward::RefuseQuarantined() {
+  const auto wait = gateway_.Parts().UntilTrial(gateway_.Now(), service_.name_,
+                                                facts_.shared_parts_);
+  if (!wait) {
+    return false;
+  }
+  if (reached_ > 0) {
+    DoNotRetry(kQuarantined);
+  } else {
+    Refuse(kUnavailable, kQuarantined, *wait);
+  }
+  return true;
+}
+
 void Forward::StartAttempt() {
+  if (RefuseQuarantined()) {
+    return;
+  }
   PlacementRequest to_place;
   to_place.service_ = &service_;
   to_place.prompt_tokens_ = IsPrompt() ? facts_.prompt_tokens_ : 0;
@@ -110,6 +133,9 @@
     PlaceElsewhere(placement.target_);
     return;
   }
+  if (RefuseQuarantined()) {
+    return;
+  }
   if (!HasRetryPermit()) {
     ReturnPlacement();
     return;
@@ -123,6 +149,9 @@
       gateway_.Pool().Acquire(now, entry->target_.address_,
                               run_once ? kMaxIdleRunOnce : kMaxIdleRepeatable);
   attempt.target_ = placement.target_;
+  attempt.sent_at_ = now;
+  attempt.is_trial_ =
+      gateway_.Parts().OnSent(now, service_.name_, facts_.shared_parts_);
   attempt.last_progress_ = now;
   attempt.predicted_ms_ = placement.wait_ms_;
   attempt_ = std::move(attempt);
@@ -302,6 +331,11 @@
     return;
   }
   if (end != ExchangeEnd::kComplete) {
+    if (IsPrompt() && !attempt_->has_event_) {
+      gateway_.OnPromptBroken(attempt_->target_,
+                              attempt_->connection_->Address(), service_.name_,
+                              facts_.shared_parts_, attempt_->sent_at_);
+    }
     const bool reused = attempt_->connection_->IsReused();
     OnAttemptFailed(AttemptEnd{RunState::kMayHaveRun, false},
                     reused ? HealthOutcome::kFull : HealthOutcome::kUnreachable,
@@ -368,12 +402,11 @@
   RetryOrFinish(end, reason);
 }
 
-void Forward::AbandonAttempt(const std::string& reason) {
+void Forward::AbandonAttempt(const std::string& reason, HealthOutcome health) {
   gateway_.Ledger().End(*work_id_);
   work_id_.reset();
   attempt_->connection_->Cancel();
-  OnAttemptFailed(AttemptEnd{RunState::kMayHaveRun, false},
-                  HealthOutcome::kUnreachable, reason);
+  OnAttemptFailed(AttemptEnd{RunState::kMayHaveRun, false}, health, reason);
 }
 
 void Forward::FinishWithoutRetry(const AttemptEnd& end,
--- a/src/transport/gateway/forward_retry.cc
+++ b/src/transport/gateway/forward_retry.cc
@@ -19,6 +19,10 @@
     DoNotRetry("limits");
     return;
   }
+  if (IsQuarantined()) {
+    DoNotRetry(kQuarantined);
+    return;
+  }
   EndLeaderRequest();
   skip_leader_ = false;
   ReleaseTickets();
--- a/src/transport/gateway/gateway.cc
+++ b/src/transport/gateway/gateway.cc
@@ -203,6 +203,7 @@
       Envelope{{self_, Port::kTransport}, {self_, Port::kControl}, {}, Tick{}});
   TickRequests(now);
   TickOrders(now);
+  TickCrashProbes(now);
   scheduler_.OnTick(now);
   SendSchedulerReplies();
   ShareLoad(now);
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -80,6 +80,17 @@
   bool AcceptsRequests() const;
   /** Takes in what an attempt says of a target's health. */
   void OnOutcome(const TargetId& target, HealthOutcome outcome);
+  /** An attempt of a prompt has ended without an event, as its connection
+   * broke. Finds out whether the engine crashed. @param sent When it was sent.
+   */
+  void OnPromptBroken(const TargetId& target, const std::string& address,
+                      const std::string& service,
+                      const std::vector<PromptPartId>& parts, TimePoint sent);
+  /** An engine has begun to answer a prompt with @p parts. */
+  void OnAnswerBegun(const std::string& service,
+                     const std::vector<PromptPartId>& parts);
+  /** @return Parts of prompts that crash engines. */
+  PartQuarantine& Parts() { return registry_.Parts(); }
   /** Takes in what an answer says of its target beside the answer. */
   void OnAnswerFacts(const TargetId& target, const AnswerFacts& facts);
   /** @return True if a request may be sent to @p target now. */
@@ -143,6 +154,12 @@
     NodeId leader_;                             ///< Who was asked.
     std::function<void(const Message&)> done_;  ///< Until it has answered.
   };
+  /** A connection attempt that tells whether an engine has crashed. */
+  struct CrashProbe {
+    std::shared_ptr<boost::asio::ip::tcp::socket> socket_;
+    TimePoint broken_;   ///< When the first prompt broke.
+    EngineCrash crash_;  ///< Told to all if the engine takes no connection.
+  };
   /** A reservation that may still stand. */
   struct OpenRelease {
     std::string address_;  ///< Of the target.
@@ -197,6 +214,10 @@
   void HandlePlacementReply(OperationId operation, const Message& body);
   void SendSchedulerReplies();
 
+  // gateway_parts.cc: parts of prompts that crash engines.
+  void OnCrashProbe(const TargetId& target, bool refused);
+  void TickCrashProbes(TimePoint now);
+
   // gateway_retries.cc: budget of retries.
   void OnRetryReply(const RetryReply& reply);
 
@@ -243,10 +264,11 @@
       operations_;                      ///< Operators' calls that wait.
   OperationId last_placement_request_;  ///< For ids of asks.
   std::map<OperationId, OpenPlacementRequest>
-      placement_requests_;                ///< Open at a leader.
-  uint64_t last_order_ = 0;               ///< For ids of orders.
-  std::map<uint64_t, OpenOrder> orders_;  ///< On their way.
-  std::vector<OpenRelease> releases_;     ///< To be sent again.
+      placement_requests_;                       ///< Open at a leader.
+  std::map<TargetId, CrashProbe> crash_probes_;  ///< In progress.
+  uint64_t last_order_ = 0;                      ///< For ids of orders.
+  std::map<uint64_t, OpenOrder> orders_;         ///< On their way.
+  std::vector<OpenRelease> releases_;            ///< To be sent again.
 
   bool stopping_ = false;           ///< A planned stop has begun.
   TimePoint stop_begun_;            ///< When.
--- a/tests/platform/crashing_part_test.cc
+++ b/tests/platform/crashing_part_test.cc
@@ -64,6 +64,7 @@
   constexpr int kEngines = 20;
   // Five crashes, and three requests more.
   constexpr int kMostBadRequests = 8;
+  constexpr std::chrono::milliseconds kPeriod{200};
   GatewayRig rig(kConfiguration);
   CrashingEngines engines(rig, kEngines);
   for (int i = 0; i < kEngines; ++i) {
@@ -72,6 +73,7 @@
     rig.Ask(Prompt(first + "bad:60,own" + std::to_string(i) + ":3900"));
     CHECK(IsServed(rig.Ask(Prompt("a:40,own:3960"))));
     CHECK(IsServed(rig.Ask(Prompt("b:40,own:3960"))));
+    std::this_thread::sleep_for(kPeriod);
   }
   CHECK(engines.BadRequests() <= kMostBadRequests);
 }
@@ -91,6 +93,7 @@
     rig.Register("l-" + std::to_string(i), "model", lost.back()->Address());
   }
   std::vector<std::thread> callers;
+  callers.reserve(kEngines);
   for (int i = 0; i < kEngines; ++i) {
     callers.emplace_back([&rig]() { rig.Ask(Prompt("a:40,b:60,own:3900")); });
   }
--- a/tests/support/registry_group.cc
+++ b/tests/support/registry_group.cc
@@ -194,6 +194,23 @@
   CarryOut(host, out);
 }
 
+void RegistryGroup::ReportCrash(const std::string& at,
+                                const EngineCrash& crash) {
+  RegistryHost& host = Host(at);
+  Outbox out(Endpoint{host.node_, Port::kControl});
+  host.core_->ReportCrash(NowOf(host), crash, out);
+  CarryOut(host, out);
+}
+
+void RegistryGroup::BeginAnswer(const std::string& at,
+                                const std::string& service,
+                                const std::vector<PromptPartId>& parts) {
+  RegistryHost& host = Host(at);
+  Outbox out(Endpoint{host.node_, Port::kControl});
+  host.core_->OnAnswerBegun(NowOf(host), service, parts, out);
+  CarryOut(host, out);
+}
+
 void RegistryGroup::AskForRetry(const std::string& at, const RetryAsk& ask) {
   RegistryHost& host = Host(at);
   if (host.core_ && !host.core_->Leader().IsNone()) {
--- a/tests/support/registry_group.h
+++ b/tests/support/registry_group.h
@@ -70,6 +70,11 @@
   void Register(const std::string& at, const TargetRegistration& target);
   /** Deregisters a target at the gateway @p at. */
   void Depart(const std::string& at, const std::string& id);
+  /** The gateway @p at reports a crashed engine. */
+  void ReportCrash(const std::string& at, const EngineCrash& crash);
+  /** An answer to a prompt with @p parts begins at the gateway @p at. */
+  void BeginAnswer(const std::string& at, const std::string& service,
+                   const std::vector<PromptPartId>& parts);
   /** Asks the leader that @p at knows, if any, for a permit of a retry. */
   void AskForRetry(const std::string& at, const RetryAsk& ask);
   /** @return The time on the clock of @p host. */
