Keep the answer of the next target out of a stream that has begun

What callers saw: a stream broke off, the next target answered 400, 404, 429, 302, or with a whole answer, and the caller found that answer's head and body in the middle of its chunks, or an end as if the stream were complete (204). Cause: after a resumed attempt only statuses from 500 on counted as failed; all others were passed on as whole answers, whether a part of the stream had been delivered or not. Evidence: 'broken stream: an error of the next target stays out of it' failed before for 400, 404, 429, 302, 200 and 204; 500 and 503 were right. The other cases of the file held before. Change: once a part of a stream is delivered, an answer that is no stream is a failed attempt; the stream goes on at another target or is broken off.

--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -362,6 +362,15 @@
                     "refused-" + std::to_string(status));
     return;
   }
+  if (answer_begun_ && !attempt_->is_streamed_) {
+    // The caller has a part of the stream already, so this answer cannot be
+    // passed on.
+    OnAttemptFailed(AttemptEnd{RunState::kRan, false},
+                    status >= kServerError ? HealthOutcome::kError
+                                           : HealthOutcome::kUnknown,
+                    "status-" + std::to_string(status));
+    return;
+  }
   if (status >= kServerError) {
     OnAttemptFailed(AttemptEnd{RunState::kRan, facts.has_signature_},
                     HealthOutcome::kError, "status-" + std::to_string(status));
--- a/tests/platform/scripted_target.cc
+++ b/tests/platform/scripted_target.cc
@@ -69,6 +69,13 @@
   socket_.close(ignored);
 }
 
+void TargetLine::Close() {
+  error_code ignored;
+  socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  PeerClosesWithin(std::chrono::seconds(1));
+  socket_.close(ignored);
+}
+
 ScriptedTarget::ScriptedTarget(Script script)
     : script_(std::move(script)),
       acceptor_(io_, {asio::ip::address_v4::loopback(), 0}),
--- a/tests/platform/scripted_target.h
+++ b/tests/platform/scripted_target.h
@@ -37,6 +37,8 @@
   bool PeerClosesWithin(std::chrono::milliseconds time);
   /** Breaks the connection. */
   void Reset();
+  /** Closes the connection after all that was sent. */
+  void Close();
 
  private:
   boost::asio::ip::tcp::socket& socket_;  ///< The connection.
