Do not take a stream without any event for a complete one

What callers saw: an engine sent the header of a stream without a length and closed; the caller got an empty stream that looked complete, and one that had broken off ended there. Cause: a stream counted as complete if it did not end inside an event, so also before the first one. Evidence: 'broken stream: one without any event is not complete' failed before (one target was asked, no event came). Change: without an event from this target a stream is complete only if it is framed and the caller has events already. Such an end also counts as a break without an event, for crashes.

--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -112,6 +112,8 @@
   bool IsAnswerToThisRequest() const;
   void OnExchangeEnd(ExchangeEnd end);
   void OnExchangeComplete();
+  bool IsStreamComplete() const;
+  void ReportIfWithoutEvent();
   void OnAttemptFailed(const AttemptEnd& end, HealthOutcome health,
                        const std::string& reason);
   void AbandonAttempt(const std::string& reason,
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -331,11 +331,7 @@
     return;
   }
   if (end != ExchangeEnd::kComplete) {
-    if (IsPrompt() && !attempt_->has_event_) {
-      gateway_.OnPromptBroken(attempt_->target_,
-                              attempt_->connection_->Address(), service_.name_,
-                              facts_.shared_parts_, attempt_->sent_at_);
-    }
+    ReportIfWithoutEvent();
     const bool reused = attempt_->connection_->IsReused();
     OnAttemptFailed(AttemptEnd{RunState::kMayHaveRun, false},
                     reused ? HealthOutcome::kFull : HealthOutcome::kUnreachable,
@@ -345,6 +341,30 @@
   OnExchangeComplete();
 }
 
+void Forward::ReportIfWithoutEvent() {
+  if (IsPrompt() && !attempt_->has_event_) {
+    gateway_.OnPromptBroken(attempt_->target_, attempt_->connection_->Address(),
+                            service_.name_, facts_.shared_parts_,
+                            attempt_->sent_at_);
+  }
+}
+
+bool Forward::IsStreamComplete() const {
+  if (events_.HasGap() || !events_.EndsWithCompleteEvent()) {
+    return false;
+  }
+  if (attempt_->has_event_) {
+    return true;
+  }
+  // The caller may have all events already, but a connection that just closes
+  // does not tell so.
+  const HttpFields& fields = attempt_->fields_;
+  const bool is_framed =
+      fields.find(http::field::content_length) != fields.end() ||
+      fields.find(http::field::transfer_encoding) != fields.end();
+  return is_framed && events_.LastId().has_value();
+}
+
 void Forward::OnExchangeComplete() {
   const AnswerFacts& facts = attempt_->facts_;
   const unsigned status = attempt_->status_;
@@ -376,8 +396,8 @@
                     HealthOutcome::kError, "status-" + std::to_string(status));
     return;
   }
-  if (attempt_->is_streamed_ &&
-      (events_.HasGap() || !events_.EndsWithCompleteEvent())) {
+  if (attempt_->is_streamed_ && !IsStreamComplete()) {
+    ReportIfWithoutEvent();
     OnAttemptFailed(AttemptEnd{RunState::kMayHaveRun, false},
                     HealthOutcome::kError, "incomplete-stream");
     return;
--- a/tests/platform/broken_stream_test.cc
+++ b/tests/platform/broken_stream_test.cc
@@ -98,6 +98,27 @@
   CHECK(Contains(answer, kEndOfChunks));
 }
 
+TEST_CASE("broken stream: one without any event is not complete") {
+  // An engine that crashes as it begins to write may close its connection
+  // after the header.
+  std::atomic<int> asked = 0;
+  const auto script = [&asked](const TargetRequest& request, TargetLine& line) {
+    BeginUnframedEvents(request, line);
+    if (++asked > 1) {
+      line.Send("id: 1\ndata: e1\n\n");
+    }
+    line.Close();
+  };
+  ScriptedTarget first(script);
+  ScriptedTarget second(script);
+  GatewayRig rig(kConfiguration);
+  rig.Register("i-1", "model", first.Address());
+  rig.Register("i-2", "model", second.Address());
+  const std::string answer = rig.Ask(Request("/read/x", kPrompt));
+  CHECK(asked == 2);
+  CHECK(Contains(answer, "data: e1"));
+}
+
 TEST_CASE("broken stream: a whole answer without a length that is reset") {
   std::atomic<bool> resets = true;
   ScriptedTarget shop(
