Refuse registrations that cannot name a target: ports, ids and numbers out of range

Here nested and unreadable entries were refused before; but a port out of range, a text that is no address, a start in the far future and an endless sequence were taken in and spread. Such a target is offered to callers, and an entry with the address of a real target and a later start marks the real one as gone. SplitAddress moves to a file of its own, for the fuzz targets.

--- a/src/state/process_settings.h
+++ b/src/state/process_settings.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "state/address_func.h"
 #include "state/ids_type.h"
 #include "state/verdict_type.h"
 
@@ -92,7 +93,4 @@
 /** @return The table of all keys as a Markdown table. Thread safety: pure. */
 std::string ProcessSettingsTable();
 
-/** Splits "IP:port". @return False if it is none. Thread safety: pure. */
-bool SplitAddress(std::string_view address, std::string& ip, uint16_t& port);
-
 }  // namespace gv
--- a/src/transport/gateway/gateway_parts.cc
+++ b/src/transport/gateway/gateway_parts.cc
@@ -1,6 +1,6 @@
 /** @file gateway_parts.cc Tells crashed engines from broken connections, for
  * the quarantine of parts of prompts. */
-#include "state/process_settings.h"
+#include "state/address_func.h"
 #include "transport/gateway/gateway.h"
 
 namespace gv {
--- a/src/transport/gateway/target_connection.cc
+++ b/src/transport/gateway/target_connection.cc
@@ -3,7 +3,7 @@
 
 #include <boost/asio/write.hpp>
 
-#include "state/process_settings.h"
+#include "state/address_func.h"
 
 namespace gv {
 namespace {
--- a/tests/platform/gateway_trouble_test.cc
+++ b/tests/platform/gateway_trouble_test.cc
@@ -168,6 +168,51 @@
   CHECK(Begins(rig.Ask(Request("/pay/x")), "HTTP/1.1 502"));
 }
 
+TEST_CASE("gateway trouble: an earlier refusal that comes once more") {
+  // With the id of the request that it belongs to, while another one runs.
+  std::atomic<int> asked = 0;
+  std::string refusal;
+  const auto script = [&](const TargetRequest& request, TargetLine& line) {
+    if (++asked == 1) {
+      refusal = Answer(request, 503, kNotRunHeader);
+      line.Send(refusal);
+      return;
+    }
+    line.Send(refusal);
+    std::this_thread::sleep_for(Milliseconds(100));
+    line.Send(Answer(request, 200, kSigned));
+  };
+  ScriptedTarget shop(script);
+  GatewayRig rig(kConfiguration);
+  rig.Register("i-1", "shop", shop.Address());
+  std::string second = Request("/pay/x");
+  second.replace(second.find("Id: a1"), 6, "Id: a2");
+  CHECK(Begins(rig.Ask(Request("/pay/x")), "HTTP/1.1 503"));
+  CHECK(Begins(rig.Ask(second), "HTTP/1.1 502"));
+  CHECK(shop.Requests().size() == 2);
+}
+
+TEST_CASE("gateway trouble: odd entries among the targets change nothing") {
+  ScriptedTarget shop([](const TargetRequest& request, TargetLine& line) {
+    line.Send(Answer(request, 200, kSigned));
+  });
+  GatewayRig rig(kConfiguration);
+  rig.Register("i-1", "shop", shop.Address());
+  const std::string entry =
+      R"({"service":"shop","zone":"d1","slots":16,"state":"ready","sequence":9,)";
+  for (const std::string& body :
+       {entry + R"("address":"127.0.0.1:70000"})",
+        entry + R"("address":")" + shop.Address() +
+            R"(","born":18446744073709551615})",
+        entry + R"("address":"127.0.0.1:80","x":)" + std::string(50000, '['),
+        std::string("\xff\xfe{"), std::string()}) {
+    CHECK(
+        Begins(rig.Control("PUT", "/v1/instances/odd", body), "HTTP/1.1 400"));
+    CHECK(Begins(rig.Ask(Request("/look/x")), "HTTP/1.1 200"));
+  }
+  CHECK(rig.Log().find("internal-error") == std::string::npos);
+}
+
 TEST_CASE("gateway trouble: a stream that drips bytes goes on elsewhere") {
   std::atomic<int> asked = 0;
   const auto script = [&asked](const TargetRequest& request, TargetLine& line) {
--- a/tests/platform/platform_codec_test.cc
+++ b/tests/platform/platform_codec_test.cc
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
 #include <nlohmann/json.hpp>
 
 namespace gv::platform {
@@ -174,6 +175,74 @@
   CHECK(fields["X-Other"] == "kept");
 }
 
+/** @return A registration with one member replaced or added. */
+std::string Registration(const std::string& name, const std::string& value) {
+  std::map<std::string, std::string> members{
+      {"service", "\"shop\""},   {"address", "\"10.0.0.9:8080\""},
+      {"zone", "\"z1\""},        {"version", "\"v1\""},
+      {"slots", "16"},           {"state", "\"ready\""},
+      {"remainingMs", "0"},      {"sequence", "4"},
+      {"born", "1791239588000"}, {"stage", "\"both\""}};
+  members[name] = value;
+  std::string text;
+  for (const auto& [key, member] : members) {
+    text += text.empty() ? "{\"" : ",\"";
+    text.append(key).append("\":").append(member);
+  }
+  return text + "}";
+}
+
+TEST_CASE("platform: an odd entry of another writer names no target") {
+  REQUIRE(Codec().decode_registration_("i-1", Registration("stage", "1")));
+  struct Case {
+    const char* name_;
+    std::string value_;
+  };
+  const std::string deep(100000, '[');
+  for (const Case& one : {Case{"address", "\"10.0.0.9:65536\""},
+                          Case{"address", "\"10.0.0.9:99999999999\""},
+                          Case{"address", "\"10.0.0.9:-1\""},
+                          Case{"address", "\"10.0.0.9:0\""},
+                          Case{"address", "\"10.0.0.9\""},
+                          Case{"address", "\"\""},
+                          Case{"address", "\"host:80\""},
+                          Case{"address", "\"1.2.3:80\""},
+                          Case{"address", "\"10.0.0.9:80,10.0.0.8:80\""},
+                          Case{"address", "\"10.0.0.9:80/t1\""},
+                          Case{"address", "7"},
+                          Case{"slots", "1e300"},
+                          Case{"slots", "0"},
+                          Case{"slots", "-4"},
+                          Case{"slots", "9007199254740992"},
+                          Case{"slots", "1e999"},
+                          Case{"sequence", "18446744073709551615"},
+                          Case{"sequence", "99999999999999999999999"},
+                          Case{"sequence", "-1"},
+                          Case{"sequence", "4.5"},
+                          Case{"born", "18446744073709551615"},
+                          Case{"born", "9007199254740992"},
+                          Case{"born", "-1"},
+                          Case{"remainingMs", "1e300"},
+                          Case{"remainingMs", "-1e300"},
+                          Case{"state", "\"gone\""},
+                          Case{"state", "null"},
+                          Case{"service", "{}"},
+                          Case{"service", "\"\""},
+                          Case{"zone", "[]"},
+                          Case{"models", deep},
+                          Case{"models", deep + std::string(100000, ']')},
+                          Case{"models", std::string(20000, '{')}}) {
+    CAPTURE(one.name_);
+    CAPTURE(one.value_.substr(0, 40));
+    CHECK_FALSE(Codec().decode_registration_(
+        "i-1", Registration(one.name_, one.value_)));
+  }
+  for (const std::string& id :
+       {std::string("i 1"), std::string(300, 'i'), std::string("i\n1")}) {
+    CHECK_FALSE(Codec().decode_registration_(id, Registration("stage", "1")));
+  }
+}
+
 TEST_CASE("platform: the last part of a prompt is shared with no other") {
   const auto parts_of = [](const std::string& list) {
     HttpFields fields;
