Soak: kept connections, overlapping signals, retry limit, odd entries, own ends

Half of the callers use each connection until it ends. One to three faults come at once; a process may be told to reload, to stop and be frozen in the middle of its stop. Targets refuse most requests for seconds. Odd entries are registered. New promises: a planned stop cuts no request whose target answered, the limit of retries holds over any ten seconds, no process ends by itself.

--- a/tests/soak/soak_clients.cc
+++ b/tests/soak/soak_clients.cc
@@ -43,39 +43,51 @@
 
 }  // namespace
 
-SoakAnswer AskOnce(uint16_t port, const std::string& request,
-                   milliseconds timeout) {
-  asio::io_context io;
-  beast::tcp_stream stream(io);
-  beast::flat_buffer buffer;
+SoakAnswer SoakConnection::Ask(const std::string& request,
+                               milliseconds timeout) {
   http::response_parser<http::string_body> parser;
   SoakAnswer answer;
-  stream.expires_after(timeout);
-  stream.async_connect(
-      {asio::ip::address_v4::loopback(), port}, [&](beast::error_code error) {
-        if (error) {
-          return;
-        }
-        asio::async_write(stream, asio::buffer(request),
-                          [&](beast::error_code failed, size_t) {
-                            if (failed) {
-                              return;
-                            }
-                            http::async_read(
-                                stream, buffer, parser,
-                                [&](beast::error_code end, size_t) {
-                                  answer.whole_ = !end && parser.is_done();
-                                });
-                          });
-      });
-  io.run();
+  const auto send = [&](beast::error_code error) {
+    if (error) {
+      return;
+    }
+    asio::async_write(
+        *stream_, asio::buffer(request), [&](beast::error_code failed, size_t) {
+          if (failed) {
+            return;
+          }
+          http::async_read(*stream_, buffer_, parser,
+                           [&](beast::error_code end, size_t) {
+                             answer.whole_ = !end && parser.is_done();
+                           });
+        });
+  };
+  if (stream_) {
+    stream_->expires_after(timeout);
+    send({});
+  } else {
+    stream_.emplace(io_);
+    stream_->expires_after(timeout);
+    stream_->async_connect({asio::ip::address_v4::loopback(), port_}, send);
+  }
+  io_.restart();
+  io_.run();
   if (parser.is_header_done()) {
     answer.status_ = static_cast<int>(parser.get().result_int());
     answer.body_ = parser.get().body();
   }
+  if (!answer.whole_ || !parser.keep_alive()) {
+    stream_.reset();
+    buffer_.clear();
+  }
   return answer;
 }
 
+SoakAnswer AskOnce(uint16_t port, const std::string& request,
+                   milliseconds timeout) {
+  return SoakConnection(port).Ask(request, timeout);
+}
+
 std::string SoakConfiguration(uint64_t version) {
   return R"({"version":)" + std::to_string(version) + R"(,"routes":[
   {"name":"pay","hostname":"a.example","pathPrefix":"/pay/","kind":"unsafe",
@@ -109,15 +121,26 @@
       "\r\nGooseberryvale-Attempt-Id: " + attempt +
       "\r\nGooseberryvale-Deadline-Ms: " + std::to_string(timeout.count()) +
       (is_stream ? "\r\nGooseberryvale-Token-Usage: 5000,300" : "") +
-      "\r\nX-Api-Key: k1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi";
+      "\r\nX-Api-Key: k1" + (keeps_ ? "" : "\r\nConnection: close") +
+      "\r\nContent-Length: 2\r\n\r\nhi";
+  ledger_.OnRequest(is_stream ? "model" : "shop");
+  if (!connection_ || !connection_->IsOpen()) {
+    connection_ = std::make_unique<SoakConnection>(view_.pick_port_());
+  }
+  const uint16_t port = connection_->Port();
   const TimePoint start = SteadyNow();
-  const uint16_t port = pick_port_();
-  const SoakAnswer answer = AskOnce(port, request, timeout + kMargin * 2);
+  const SoakAnswer answer = connection_->Ask(request, timeout + kMargin * 2);
   const Duration took = SteadyNow() - start;
-  if (took.Ms() > (timeout + kMargin).count() && was_calm_(port, start)) {
+  if (took.Ms() > (timeout + kMargin).count() && view_.was_calm_(port, start)) {
     ledger_.Break(Promise::kEndsInTime,
                   attempt + " took " + std::to_string(took.Ms()) + " ms");
   }
+  if (!answer.whole_ && ledger_.IsAnswered(attempt) &&
+      view_.was_planned_(port, start)) {
+    ledger_.Break(
+        Promise::kStopCutsNothing,
+        attempt + " was cut after " + std::to_string(took.Ms()) + " ms");
+  }
   Check(attempt, answer, is_stream);
   const bool served = answer.whole_ && answer.status_ == 200;
   ledger_.Count(served);
--- a/tests/soak/soak_clients.h
+++ b/tests/soak/soak_clients.h
@@ -2,9 +2,14 @@
 #pragma once
 
 #include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -19,26 +24,48 @@
   std::string body_;    ///< Without the chunked coding.
 };
 
-/** @return The answer of @p port to @p request. Blocks for @p timeout at most.
- */
+/** A caller's connection, which is used for as long as it is open. Blocks.
+ * Thread safety: one thread. */
+class SoakConnection {
+ public:
+  explicit SoakConnection(uint16_t port) : port_(port) {}
+  /** @return The answer to @p request; nothing of it after @p timeout. */
+  SoakAnswer Ask(const std::string& request, std::chrono::milliseconds timeout);
+  bool IsOpen() const { return stream_.has_value(); }
+  uint16_t Port() const { return port_; }
+
+ private:
+  uint16_t port_;
+  boost::asio::io_context io_;
+  std::optional<boost::beast::tcp_stream> stream_;
+  boost::beast::flat_buffer buffer_;
+};
+
+/** @return The answer of @p port to @p request, on a connection of its own.
+ * Blocks for @p timeout at most. */
 SoakAnswer AskOnce(uint16_t port, const std::string& request,
                    std::chrono::milliseconds timeout);
 
 /** @return The configuration of a soak under @p version. */
 std::string SoakConfiguration(uint64_t version);
 
+/** What a caller asks of the world. */
+struct SoakView {
+  /** Chooses a gateway. */
+  std::function<uint16_t()> pick_port_;
+  /** Says whether the gateway of a port was left alone since a time. */
+  std::function<bool(uint16_t, TimePoint)> was_calm_;
+  /** Says whether nothing but planned stops and reloads has happened to the
+   * gateway of a port, and nothing to targets, since a time. */
+  std::function<bool(uint16_t, TimePoint)> was_planned_;
+};
+
 /** One caller after the other, until it is stopped. */
 class SoakCaller {
  public:
-  /** @param pick_port Chooses a gateway. @param was_calm Says whether the
-   * gateway of a port was left alone since a time. */
-  SoakCaller(SoakLedger& ledger, uint64_t seed,
-             std::function<uint16_t()> pick_port,
-             std::function<bool(uint16_t, TimePoint)> was_calm)
-      : ledger_(ledger),
-        random_(seed),
-        pick_port_(std::move(pick_port)),
-        was_calm_(std::move(was_calm)) {}
+  /** @param keeps Uses each connection for as long as it is open. */
+  SoakCaller(SoakLedger& ledger, uint64_t seed, SoakView view, bool keeps)
+      : ledger_(ledger), random_(seed), view_(std::move(view)), keeps_(keeps) {}
   /** Sends requests until @p stop. */
   void Run(const std::atomic<bool>& stop);
   /** Sends one request. @return True if it was served. */
@@ -49,8 +76,9 @@
              bool is_stream);
   SoakLedger& ledger_;
   std::mt19937_64 random_;
-  std::function<uint16_t()> pick_port_;
-  std::function<bool(uint16_t, TimePoint)> was_calm_;
+  SoakView view_;
+  bool keeps_;
+  std::unique_ptr<SoakConnection> connection_;  ///< The latest one.
 };
 
 /** Sends growing versions and reads them back, until it is stopped. */
--- a/tests/soak/soak_ledger.cc
+++ b/tests/soak/soak_ledger.cc
@@ -5,11 +5,12 @@
 #include <array>
 
 #include "state/enum_names.h"
+#include "transport/steady_clock.h"
 
 namespace gv {
 namespace {
 
-constexpr std::array<EnumName<Promise>, 8> kPromiseNames{{
+constexpr std::array<EnumName<Promise>, 11> kPromiseNames{{
     {Promise::kOwnWholeAnswer, "own-whole-answer"},
     {Promise::kNotRunIsTrue, "not-run-is-true"},
     {Promise::kOnceAtMost, "once-at-most"},
@@ -18,10 +19,62 @@
     {Promise::kNeverReverts, "never-reverts"},
     {Promise::kNothingLost, "nothing-lost"},
     {Promise::kServedAgain, "served-again"},
+    {Promise::kStopCutsNothing, "stop-cuts-nothing"},
+    {Promise::kRetryBudget, "retry-budget"},
+    {Promise::kNoOwnEnd, "no-own-end"},
 }};
 
+/** The defaults of the gateways' settings. */
+constexpr double kRetryRatio = 0.2;
+constexpr Duration kRetryWindow = 10_s;
+constexpr double kRetrySlack = 20;
+
 }  // namespace
 
+RetryRule& SoakLedger::RetriesOf(const std::string& service) {
+  return retries_.try_emplace(service, kRetryRatio, kRetryWindow, kRetrySlack)
+      .first->second;
+}
+
+void SoakLedger::OnRequest(const std::string& service) {
+  const std::scoped_lock lock(mutex_);
+  RetriesOf(service).OnRequest(SteadyNow());
+}
+
+void SoakLedger::OnArrival(const std::string& service,
+                           const std::string& attempt) {
+  const std::scoped_lock lock(mutex_);
+  if (!arrived_.insert(attempt).second) {
+    RetriesOf(service).OnRetry(SteadyNow());
+  }
+}
+
+void SoakLedger::OnAnswered(const std::string& attempt) {
+  const std::scoped_lock lock(mutex_);
+  answered_.insert(attempt);
+}
+
+bool SoakLedger::IsAnswered(const std::string& attempt) const {
+  const std::scoped_lock lock(mutex_);
+  return answered_.contains(attempt);
+}
+
+void SoakLedger::CheckRetries() {
+  std::vector<std::string> lines;
+  {
+    const std::scoped_lock lock(mutex_);
+    for (const auto& [service, rule] : retries_) {
+      if (rule.WorstExcess() > 0) {
+        lines.push_back(service + " got " + std::to_string(rule.WorstExcess()) +
+                        " retries beyond the limit of a window");
+      }
+    }
+  }
+  for (const std::string& line : lines) {
+    Break(Promise::kRetryBudget, line);
+  }
+}
+
 void SoakLedger::OnRun(const std::string& attempt, bool is_unsafe) {
   int64_t runs = 0;
   bool refused = false;
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -31,6 +31,16 @@
 constexpr int kAsksOfCheck = 12;
 constexpr int kServedOfCheck = 8;
 
+SoakView ViewOf(SoakWorld& world) {
+  return SoakView{[&world]() { return world.PickCaller(); },
+                  [&world](uint16_t port, TimePoint time) {
+                    return world.WasCalm(port, time);
+                  },
+                  [&world](uint16_t port, TimePoint time) {
+                    return world.WasPlanned(port, time);
+                  }};
+}
+
 /** Runs callers and the operator while the schedule goes on. */
 void RunFaults(SoakWorld& world, SoakLedger& ledger, SoakOperator& changer) {
   std::atomic<bool> stop = false;
@@ -38,12 +48,9 @@
   threads.emplace_back([&]() { changer.Run(stop); });
   for (int i = 0; i < FLAGS_callers; ++i) {
     threads.emplace_back([&, i]() {
-      SoakCaller(
-          ledger, FLAGS_seed * 100 + static_cast<uint64_t>(i),
-          [&world]() { return world.PickCaller(); },
-          [&world](uint16_t port, TimePoint time) {
-            return world.WasCalm(port, time);
-          })
+      // Half of the callers keep their connections.
+      SoakCaller(ledger, FLAGS_seed * 100 + static_cast<uint64_t>(i),
+                 ViewOf(world), i % 2 == 0)
           .Run(stop);
     });
   }
@@ -76,9 +83,10 @@
     }
   }
   for (const uint16_t port : world.CallerPorts()) {
-    SoakCaller caller(
-        ledger, port, [port]() { return port; },
-        [](uint16_t, TimePoint) { return true; });
+    SoakView view = ViewOf(world);
+    view.pick_port_ = [port]() { return port; };
+    view.was_calm_ = [](uint16_t, TimePoint) { return true; };
+    SoakCaller caller(ledger, port, view, false);
     int served = 0;
     do {
       world.Heal();
@@ -115,6 +123,7 @@
     world.Heal();
     CheckRecovery(world, ledger, changer);
   }
+  ledger.CheckRetries();
   for (const std::string& line : ledger.Broken()) {
     std::cout << "BROKEN " << line << "\n";
   }
--- a/tests/soak/soak_process.cc
+++ b/tests/soak/soak_process.cc
@@ -49,6 +49,7 @@
       << "}\ngateway: {seeds: [" << seeds_ << "], tolerated_losses: 1}\n";
   const std::string settings = "--settings=" + folder + "/gateway.yaml";
   const std::string log = folder + "/log";
+  asked_ = false;
   pid_ = fork();
   if (pid_ == 0) {
     const int out = open(log.c_str(), O_CREAT | O_APPEND | O_WRONLY, 0600);
@@ -61,6 +62,7 @@
 
 void SoakProcess::Signal(int signal) {
   if (pid_ > 0) {
+    asked_ = asked_ || signal == SIGTERM;
     kill(pid_, signal);
   }
 }
@@ -74,6 +76,7 @@
 
 void SoakProcess::Kill() {
   if (pid_ > 0) {
+    asked_ = true;
     kill(pid_, SIGKILL);
     waitpid(pid_, nullptr, 0);
     pid_ = 0;
--- a/tests/soak/soak_process.h
+++ b/tests/soak/soak_process.h
@@ -31,6 +31,8 @@
   void Signal(int signal);
   /** @return True if the process has ended; takes its exit in. */
   bool HasEnded();
+  /** @return True if it ended, and nobody had asked it to. */
+  bool HasEndedItself() const { return pid_ == 0 && !asked_; }
   /** Kills the process and waits for its end. */
   void Kill();
   /** Removes the data folder. @pre It doesn't run. */
@@ -50,6 +52,7 @@
   std::string seeds_;
   bool has_disk_;
   pid_t pid_ = 0;
+  bool asked_ = false;  ///< Stopped or killed since its start.
 };
 
 }  // namespace gv
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -93,6 +93,7 @@
 
 void SoakWorld::Serve(const TargetRequest& request, TargetLine& line) {
   const std::string attempt = request.Header("Gooseberryvale-Attempt-Id");
+  ledger_.OnArrival(attempt[0] == 'r' ? "model" : "shop", attempt);
   const std::string head =
       "HTTP/1.1 200 OK\r\nGooseberryvale-Attempt-Id: " + attempt + "\r\n";
   // Some fail, by the attempt, so that a seed fails the same ones.
@@ -101,7 +102,8 @@
   constexpr uint64_t kRefuse = 3;
   constexpr uint64_t kReset = 6;
   constexpr uint64_t kHang = 8;
-  if (luck < kRefuse) {
+  constexpr uint64_t kRefuseMost = 70;
+  if (luck < (refusing_ ? kRefuseMost : kRefuse)) {
     line.Send(
         "HTTP/1.1 503 Full\r\nGooseberryvale-Not-Executed: true\r\n"
         "Gooseberryvale-Attempt-Id: " +
@@ -118,9 +120,11 @@
   }
   if (attempt[0] != 'r') {
     const std::string body = "answer to " + attempt;
-    line.Send(head +
-              "Gooseberryvale-Response-Signature: s\r\nContent-Length: " +
-              std::to_string(body.size()) + "\r\n\r\n" + body);
+    if (line.Send(head +
+                  "Gooseberryvale-Response-Signature: s\r\nContent-Length: " +
+                  std::to_string(body.size()) + "\r\n\r\n" + body)) {
+      ledger_.OnAnswered(attempt);
+    }
     return;
   }
   constexpr int kEvents = 6;
@@ -135,7 +139,9 @@
       return;
     }
   }
-  line.Send("0\r\n\r\n");
+  if (line.Send("0\r\n\r\n")) {
+    ledger_.OnAnswered(attempt);
+  }
 }
 
 void SoakWorld::Register() {
@@ -159,6 +165,22 @@
   }
 }
 
+void SoakWorld::RegisterOddEntry() {
+  constexpr std::array<const char*, 4> kOdd{
+      R"({"service":"shop","address":"127.0.0.1:70000","zone":"d1","slots":1,)"
+      R"("state":"ready","sequence":1})",
+      R"({"service":"shop","address":"127.0.0.1:80","zone":"d1","slots":1,)"
+      R"("state":"ready","sequence":1,"born":18446744073709551615})",
+      "{\"x\":[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[",
+      "\xff\xfe"};
+  const std::string body = kOdd[random_() % kOdd.size()];
+  AskOnce(PickControl(),
+          "PUT /v1/instances/i-odd HTTP/1.1\r\nHost: x\r\nConnection: close"
+          "\r\nContent-Length: " +
+              std::to_string(body.size()) + "\r\n\r\n" + body,
+          milliseconds(300));
+}
+
 uint16_t SoakWorld::PickCaller() {
   const std::scoped_lock lock(mutex_);
   return members_[port_random_() % members_.size()].callers_->Port();
@@ -185,21 +207,43 @@
   return ports;
 }
 
-bool SoakWorld::WasCalm(uint16_t caller_port, TimePoint time) const {
-  const std::scoped_lock lock(mutex_);
+const SoakWorld::Member* SoakWorld::Find(uint16_t caller_port) const {
   for (const Member& member : members_) {
     if (member.callers_->Port() == caller_port) {
-      return member.disturbed_ < time &&
-             member.callers_->Get() == LinkFault::kNone;
+      return &member;
     }
   }
-  return false;
+  return nullptr;
+}
+
+bool SoakWorld::WasCalm(uint16_t caller_port, TimePoint time) const {
+  const std::scoped_lock lock(mutex_);
+  const Member* member = Find(caller_port);
+  return member != nullptr && member->disturbed_ < time &&
+         member->callers_->Get() == LinkFault::kNone;
+}
+
+bool SoakWorld::WasPlanned(uint16_t caller_port, TimePoint time) const {
+  const std::scoped_lock lock(mutex_);
+  const Member* member = Find(caller_port);
+  return member != nullptr && member->unplanned_ < time &&
+         targets_disturbed_ < time &&
+         member->callers_->Get() == LinkFault::kNone;
+}
+
+void SoakWorld::Touch(Member& member, Duration time, bool is_planned) {
+  const std::scoped_lock lock(mutex_);
+  const TimePoint until = SteadyNow() + time + kAfterFault;
+  member.disturbed_ = std::max(member.disturbed_, until);
+  if (!is_planned) {
+    member.unplanned_ = std::max(member.unplanned_, until);
+  }
 }
 
-void SoakWorld::Touch(Member& member, Duration time) {
+void SoakWorld::TouchTargets(Duration time) {
   const std::scoped_lock lock(mutex_);
-  member.disturbed_ =
-      std::max(member.disturbed_, SteadyNow() + time + kAfterFault);
+  targets_disturbed_ =
+      std::max(targets_disturbed_, SteadyNow() + time + kAfterFault);
 }
 
 void SoakWorld::Restart() {
@@ -210,10 +254,16 @@
       member.process_->Signal(SIGCONT);
     }
     if (member.process_->HasEnded()) {
-      Touch(member, kStart);
+      if (member.process_->HasEndedItself()) {
+        ledger_.Break(Promise::kNoOwnEnd, member.process_->Name());
+      }
+      Touch(member, kStart, true);
       member.process_->Start(false);
     }
   }
+  if (now >= refusing_until_) {
+    refusing_ = false;
+  }
   for (Target& target : targets_) {
     if (target.calm_ != TimePoint() && now >= target.calm_) {
       target.calm_ = TimePoint();
@@ -224,8 +274,10 @@
 
 std::string SoakWorld::DisturbProcess(Member& member) {
   const std::string& name = member.process_->Name();
-  Touch(member, kStart);
-  switch (random_() % 6) {
+  const uint64_t kind = random_() % 7;
+  const bool is_planned = kind == 1 || kind == 2;
+  Touch(member, kStart, is_planned);
+  switch (kind) {
     case 0: {
       const Duration time(300 + static_cast<int64_t>(random_() % 2000));
       Touch(member, time);
@@ -259,17 +311,40 @@
         }
       }
       return "kill all with disks";
+    case 5:
+      return SignalInSeries(member);
     default:
       member.process_->Kill();
       return "kill " + name;
   }
 }
 
+std::string SoakWorld::SignalInSeries(Member& member) {
+  // The process is frozen in the middle of its stop, and told again after it.
+  const Duration time(100 + static_cast<int64_t>(random_() % 900));
+  Touch(member, time);
+  for (const int signal : {SIGHUP, SIGTERM, SIGHUP, SIGTERM, SIGSTOP}) {
+    member.process_->Signal(signal);
+  }
+  member.wake_ = SteadyNow() + time;
+  return "reload, stop and freeze " + member.process_->Name() + " " +
+         std::to_string(time.Ms());
+}
+
+std::string SoakWorld::DisturbTargets() {
+  const Duration time(1000 + static_cast<int64_t>(random_() % 4000));
+  refusing_ = true;
+  refusing_until_ = SteadyNow() + time;
+  TouchTargets(time);
+  return "targets refuse most requests " + std::to_string(time.Ms());
+}
+
 std::string SoakWorld::DisturbLink() {
   constexpr std::array<LinkFault, 3> kFaults{
       LinkFault::kDelay, LinkFault::kSilent, LinkFault::kOneWay};
   Target& target = targets_[random_() % targets_.size()];
   const uint64_t kind = random_() % 4;
+  TouchTargets(2_s);
   if (kind == 3) {
     target.proxy_->ResetAll();
     return "reset links of " + target.id_;
@@ -280,15 +355,33 @@
   return "link fault " + std::to_string(kind) + " at " + target.id_;
 }
 
+std::string SoakWorld::DisturbOnce() {
+  switch (random_() % 12) {
+    case 0: {
+      Member& member = AnyMember();
+      Touch(member, Duration());
+      member.callers_->ResetAll();
+      return "reset callers of " + member.process_->Name();
+    }
+    case 1:
+      return DisturbTargets();
+    case 2:
+      RegisterOddEntry();
+      return "odd entry";
+    default:
+      return random_() % 2 == 0 ? DisturbLink() : DisturbProcess(AnyMember());
+  }
+}
+
 std::string SoakWorld::Disturb() {
   Restart();
-  if (random_() % 10 == 0) {
-    Member& member = AnyMember();
-    Touch(member, Duration());
-    member.callers_->ResetAll();
-    return "reset callers of " + member.process_->Name();
+  // Faults come in series and overlap.
+  constexpr uint64_t kMostAtOnce = 3;
+  std::string line = DisturbOnce();
+  for (uint64_t more = random_() % kMostAtOnce; more > 0; --more) {
+    line += "; " + DisturbOnce();
   }
-  return random_() % 2 == 0 ? DisturbLink() : DisturbProcess(AnyMember());
+  return line;
 }
 
 void SoakWorld::Heal() {
@@ -301,6 +394,7 @@
     target.calm_ = TimePoint();
     target.proxy_->Set(LinkFault::kNone);
   }
+  refusing_until_ = TimePoint();
   Restart();
 }
 
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -34,7 +34,8 @@
   SoakWorld(const SoakWorld&) = delete;
   SoakWorld& operator=(const SoakWorld&) = delete;
 
-  /** Injects one fault and restarts what has ended. @return Its line. */
+  /** Injects one to three faults and restarts what has ended. @return Their
+   * line. */
   std::string Disturb();
   /** Ends all faults and restarts everything. */
   void Heal();
@@ -45,6 +46,10 @@
   /** @return True if the gateway of a callers' port was left alone since
    * @p time, and a little before. Thread safety: any thread. */
   bool WasCalm(uint16_t caller_port, TimePoint time) const;
+  /** @return True if since @p time, and a little before, nothing but planned
+   * stops and reloads happened to the gateway of a callers' port, and nothing
+   * to targets and their links. Thread safety: any thread. */
+  bool WasPlanned(uint16_t caller_port, TimePoint time) const;
   std::vector<uint16_t> CallerPorts() const;
   std::vector<uint16_t> ControlPorts() const;
 
@@ -55,6 +60,7 @@
     std::unique_ptr<FaultProxy> callers_;
     std::unique_ptr<FaultProxy> control_;
     TimePoint disturbed_;  ///< Until then, at least.
+    TimePoint unplanned_;  ///< The same, without planned stops and reloads.
     TimePoint wake_;       ///< When a stopped one goes on; or none.
   };
   /** A target, and the proxy in front of it. */
@@ -69,11 +75,17 @@
   void AddTarget(const std::string& service, int index);
   void Serve(const TargetRequest& request, TargetLine& line);
   void Register();
+  void RegisterOddEntry();
   void Restart();
-  void Touch(Member& member, Duration time);
+  void Touch(Member& member, Duration time, bool is_planned = false);
+  void TouchTargets(Duration time);
+  const Member* Find(uint16_t caller_port) const;
   Member& AnyMember() { return members_[random_() % members_.size()]; }
   std::string DisturbProcess(Member& member);
+  std::string SignalInSeries(Member& member);
+  std::string DisturbTargets();
   std::string DisturbLink();
+  std::string DisturbOnce();
 
   SoakLedger& ledger_;
   std::mt19937_64 random_;
@@ -81,7 +93,10 @@
   std::vector<Member> members_;
   TimePoint lost_disk_;  ///< When a disk was lost last.
   std::vector<Target> targets_;
-  mutable std::mutex mutex_;  ///< Guards times of members_, port_random_.
+  std::atomic<bool> refusing_ = false;  ///< Targets refuse most requests.
+  TimePoint refusing_until_;
+  TimePoint targets_disturbed_;  ///< Until then, at least.
+  mutable std::mutex mutex_;     ///< Guards these times and port_random_.
   std::mt19937_64 port_random_;
   std::atomic<bool> stop_ = false;
   std::thread registering_;
