--- a/src/coordination/gateway/retry_allowance.cc
+++ b/src/coordination/gateway/retry_allowance.cc
@@ -9,6 +9,8 @@
 
 /** The window of the retries and the one before it. */
 constexpr double kPayingWindows = 2;
+/** While targets refuse most requests, each would ask the leader in vain. */
+constexpr Duration kRefusedPause = 100_ms;
 
 }  // namespace
 
@@ -31,6 +33,10 @@
   return unspent_.size();
 }
 
+void RetryAllowance::OnPermitRefused(TimePoint now) {
+  next_ask_ = now + kRefusedPause;
+}
+
 bool RetryAllowance::Consume(TimePoint now) {
   if (requests_per_retry_ == 0 || UnspentRequests(now) < requests_per_retry_) {
     return false;
--- a/src/coordination/gateway/retry_allowance.h
+++ b/src/coordination/gateway/retry_allowance.h
@@ -27,11 +27,16 @@
   bool Consume(TimePoint now);
   /** @return Recent requests that have not paid for a retry. */
   size_t UnspentRequests(TimePoint now);
+  /** The leader has no permit left for this service. */
+  void OnPermitRefused(TimePoint now);
+  /** @return True if the leader may have a permit. */
+  bool MayAskLeader(TimePoint now) const { return now >= next_ask_; }
 
  private:
   size_t requests_per_retry_;      ///< Zero if no retry is allowed.
   Duration lifetime_;              ///< Time in which a request can pay.
   std::deque<TimePoint> unspent_;  ///< Arrivals of requests that can pay.
+  TimePoint next_ask_;             ///< When the leader is asked again.
 };
 
 }  // namespace gv
--- a/src/transport/gateway/forward_retry.cc
+++ b/src/transport/gateway/forward_retry.cc
@@ -57,7 +57,8 @@
   if (retry_ask_) {
     return true;
   }
-  if (!gateway_.IsLeaderAvailable()) {
+  if (!gateway_.IsLeaderAvailable() ||
+      !gateway_.Retries(service_.name_).MayAskLeader(now)) {
     return false;
   }
   retry_ask_deadline_ = now + kRetryReplyTimeout;
@@ -80,12 +81,15 @@
     return;
   }
   retry_ask_.reset();
+  const TimePoint now = gateway_.Now();
   if (granted) {
-    retry_permit_until_ = gateway_.Now() + kRetryPermitLifetime;
+    retry_permit_until_ = now + kRetryPermitLifetime;
+  } else {
+    gateway_.Retries(service_.name_).OnPermitRefused(now);
   }
   if (!std::exchange(waiting_for_permit_, false)) {
     // The attempt goes on; its target may still answer.
-    next_retry_ask_ = gateway_.Now() + kRetryAskPeriod;
+    next_retry_ask_ = now + kRetryAskPeriod;
     return;
   }
   if (!MayRetry(History(), failed_->end_)) {
--- a/tests/retry_budget_test.cc
+++ b/tests/retry_budget_test.cc
@@ -178,6 +178,15 @@
   }
 }
 
+TEST_CASE("retry budget: a gateway does not ask in vain all the time") {
+  RetryAllowance allowance(kSmallBounds);
+  const TimePoint now(1000);
+  CHECK(allowance.MayAskLeader(now));
+  allowance.OnPermitRefused(now);
+  CHECK_FALSE(allowance.MayAskLeader(now + 50_ms));
+  CHECK(allowance.MayAskLeader(now + 100_ms));
+}
+
 TEST_CASE("retry budget: log entries of retries are no configurations") {
   const auto entry = DecodeRetryEntry(EncodeRetryEntry({"tile shop", 7}));
   REQUIRE(entry);
