--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -101,8 +101,6 @@
   bool CanMeetObjective(const Placement& placement) const;
   void SendTo(const Placement& placement);
   void PlaceElsewhere(const TargetId& target);
-  bool IsQuarantined() const;
-  bool RefuseQuarantined();
   std::string BuildRequest(const Placement& placement) const;
   std::vector<std::string> HelperList(const Placement& placement) const;
   ExchangeHandler MakeHandler();
@@ -112,8 +110,6 @@
   bool IsAnswerToThisRequest() const;
   void OnExchangeEnd(ExchangeEnd end);
   void OnExchangeComplete();
-  bool IsStreamComplete() const;
-  void ReportIfWithoutEvent();
   void OnAttemptFailed(const AttemptEnd& end, HealthOutcome health,
                        const std::string& reason);
   void AbandonAttempt(const std::string& reason,
@@ -122,6 +118,11 @@
   AttemptHistory History() const;
   void FinishWithoutRetry(const AttemptEnd& end, const std::string& reason);
 
+  // forward_parts.cc: parts of prompts that crash engines.
+  bool IsQuarantined() const;
+  bool RefuseQuarantined();
+  void ReportIfWithoutEvent();
+
   // forward_retry.cc: permits for retries.
   void RetryOrFinish(const AttemptEnd& end, const std::string& reason);
   bool HasRetryPermit();
@@ -136,6 +137,7 @@
   // forward_answer.cc: delivery of the answer to the caller.
   void PassEvents(const std::string& data);
   void BeginAnswer();
+  bool IsStreamComplete() const;
   void FinishAnswer();
   WholeAnswer TakeWholeAnswer();
   void PassWholeAnswer(const WholeAnswer& answer);
--- a/src/transport/gateway/forward_answer.cc
+++ b/src/transport/gateway/forward_answer.cc
@@ -8,6 +8,8 @@
 namespace gv {
 namespace {
 
+namespace http = boost::beast::http;
+
 /** Bytes queued for the caller beyond which reading from the target pauses; it
  * resumes below half of this. */
 constexpr size_t kMaxUnsentBytes = 256UL << 10;
@@ -77,6 +79,22 @@
   }
 }
 
+bool Forward::IsStreamComplete() const {
+  if (events_.HasGap() || !events_.EndsWithCompleteEvent()) {
+    return false;
+  }
+  if (attempt_->has_event_) {
+    return true;
+  }
+  // The caller may have all events already, but a connection that just closes
+  // does not tell so.
+  const HttpFields& fields = attempt_->fields_;
+  const bool is_framed =
+      fields.find(http::field::content_length) != fields.end() ||
+      fields.find(http::field::transfer_encoding) != fields.end();
+  return is_framed && events_.LastId().has_value();
+}
+
 void Forward::FinishAnswer() {
   if (!attempt_->is_streamed_) {
     PassWholeAnswer(TakeWholeAnswer());
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -62,26 +62,6 @@
   }
 }
 
-bool Forward::IsQuarantined() const {
-  return gateway_.Parts()
-      .UntilTrial(gateway_.Now(), service_.name_, facts_.shared_parts_)
-      .has_value();
-}
-
-bool Forward::RefuseQuarantined() {
-  const auto wait = gateway_.Parts().UntilTrial(gateway_.Now(), service_.name_,
-                                                facts_.shared_parts_);
-  if (!wait) {
-    return false;
-  }
-  if (reached_ > 0) {
-    DoNotRetry(kQuarantined);
-  } else {
-    Refuse(kUnavailable, kQuarantined, *wait);
-  }
-  return true;
-}
-
 void Forward::StartAttempt() {
   if (RefuseQuarantined()) {
     return;
@@ -341,30 +321,6 @@
   OnExchangeComplete();
 }
 
-void Forward::ReportIfWithoutEvent() {
-  if (IsPrompt() && !attempt_->has_event_) {
-    gateway_.OnPromptBroken(attempt_->target_, attempt_->connection_->Address(),
-                            service_.name_, facts_.shared_parts_,
-                            attempt_->sent_at_);
-  }
-}
-
-bool Forward::IsStreamComplete() const {
-  if (events_.HasGap() || !events_.EndsWithCompleteEvent()) {
-    return false;
-  }
-  if (attempt_->has_event_) {
-    return true;
-  }
-  // The caller may have all events already, but a connection that just closes
-  // does not tell so.
-  const HttpFields& fields = attempt_->fields_;
-  const bool is_framed =
-      fields.find(http::field::content_length) != fields.end() ||
-      fields.find(http::field::transfer_encoding) != fields.end();
-  return is_framed && events_.LastId().has_value();
-}
-
 void Forward::OnExchangeComplete() {
   const AnswerFacts& facts = attempt_->facts_;
   const unsigned status = attempt_->status_;
