Say why the leader refuses a retry, and parse endpoints in one place

Lines retry-granted and retry-refused carry the cause and what is left of the slack; ObtainRetryPermit is named for taking one; the address of a target becomes an endpoint in one function.

--- a/src/coordination/gateway/registry_core.h
+++ b/src/coordination/gateway/registry_core.h
@@ -186,7 +186,7 @@
                      Outbox& out);
   void TickRetries(TimePoint now, Outbox& out);
   void AnswerRetry(const std::string& service, const RetryAsker& asker,
-                   bool granted, Outbox& out) const;
+                   bool granted, const std::string& detail, Outbox& out) const;
 
   // registry_parts.cc: parts of prompts that crash engines.
   std::vector<Endpoint> OtherEndpoints() const;
--- a/src/coordination/gateway/registry_retries.cc
+++ b/src/coordination/gateway/registry_retries.cc
@@ -15,14 +15,22 @@
 void RegistryCore::OnRetryAsk(TimePoint now, const Endpoint& from,
                               const RetryAsk& ask, Outbox& out) {
   const RetryAsker asker{from, ask.operation_};
-  if (!IsActiveLeader(now) || now < retries_known_at_) {
-    AnswerRetry(ask.service_, asker, false, out);
+  if (!IsActiveLeader(now)) {
+    AnswerRetry(ask.service_, asker, false, "cause=leader", out);
+    return;
+  }
+  if (now < retries_known_at_) {
+    AnswerRetry(ask.service_, asker, false, "cause=snapshot", out);
     return;
   }
   ServiceRetries& retries = RetriesOf(ask.service_);
   const size_t open = retries.waiting_.size() + retries.proposed_.size();
-  if (retries.reserve_.Left(now) <= open) {
-    AnswerRetry(ask.service_, asker, false, out);
+  const size_t left = retries.reserve_.Left(now);
+  if (left <= open) {
+    AnswerRetry(ask.service_, asker, false,
+                "cause=slack left=" + std::to_string(left) +
+                    " open=" + std::to_string(open),
+                out);
     return;
   }
   retries.waiting_.push_back(asker);
@@ -57,8 +65,11 @@
     return;
   }
   const bool is_own = retries.term_ == entry.term_;
+  const std::string detail =
+      "left=" + std::to_string(retries.reserve_.Left(now)) +
+      " index=" + std::to_string(entry.index_.Value());
   for (const RetryAsker& asker : std::exchange(retries.proposed_, {})) {
-    AnswerRetry(service, asker, is_own, out);
+    AnswerRetry(service, asker, is_own, detail, out);
   }
   if (replica_->IsLeader()) {
     ProposeRetries(now, service, retries, out);
@@ -69,7 +80,7 @@
                                  ServiceRetries& retries, Outbox& out) {
   for (auto* askers : {&retries.proposed_, &retries.waiting_}) {
     for (const RetryAsker& asker : std::exchange(*askers, {})) {
-      AnswerRetry(service, asker, false, out);
+      AnswerRetry(service, asker, false, "cause=leader", out);
     }
   }
 }
@@ -89,9 +100,11 @@
 
 void RegistryCore::AnswerRetry(const std::string& service,
                                const RetryAsker& asker, bool granted,
-                               Outbox& out) const {
+                               const std::string& detail, Outbox& out) const {
   Record(granted ? EventId::kRetryGranted : EventId::kRetryRefused,
-         "gateway=" + asker.from_.node_.Value() + " service=" + service, out);
+         "gateway=" + asker.from_.node_.Value() + " service=" + service + " " +
+             detail,
+         out);
   out.Send(asker.from_, RetryReply{asker.operation_, granted});
 }
 
--- a/src/coordination/gateway/retry_reserve.h
+++ b/src/coordination/gateway/retry_reserve.h
@@ -12,8 +12,9 @@
  * Counts the permits that the leader gave out from the slack of one service's
  * retry budget. Each permit is an entry of the replicated log before it is
  * given out, so a new leader counts those of the one before it. A replica
- * counts an entry from its own commit on, which is never earlier than the
- * permit. Thread safety: owned by one thread.
+ * counts an entry from its own commit on; a permit that comes later than
+ * kRetryReplyTimeout after its request is not used. Thread safety: owned by one
+ * thread.
  */
 class RetryReserve {
  public:
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -125,7 +125,7 @@
 
   // forward_retry.cc: permits for retries.
   void RetryOrFinish(const AttemptEnd& end, const std::string& reason);
-  bool HasRetryPermit();
+  bool ObtainRetryPermit();
   bool AskForRetryPermit();
   void OnRetryReply(bool granted);
   void CheckRetryAsk(TimePoint now);
--- a/src/transport/gateway/forward_answer.cc
+++ b/src/transport/gateway/forward_answer.cc
@@ -178,7 +178,7 @@
   }
   // Without a permit the attempt is kept, as the current target may still
   // answer.
-  if (HasRetryPermit()) {
+  if (ObtainRetryPermit()) {
     AbandonAttempt("silent");
   } else if (now >= next_retry_ask_) {
     AskForRetryPermit();
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -116,7 +116,7 @@
   if (RefuseQuarantined()) {
     return;
   }
-  if (!HasRetryPermit()) {
+  if (!ObtainRetryPermit()) {
     ReturnPlacement();
     return;
   }
--- a/src/transport/gateway/forward_retry.cc
+++ b/src/transport/gateway/forward_retry.cc
@@ -26,7 +26,7 @@
   EndLeaderRequest();
   skip_leader_ = false;
   ReleaseTickets();
-  if (HasRetryPermit()) {
+  if (ObtainRetryPermit()) {
     Retry();
     return;
   }
@@ -36,7 +36,7 @@
   }
 }
 
-bool Forward::HasRetryPermit() {
+bool Forward::ObtainRetryPermit() {
   if (reached_ == 0) {
     // No target has seen the request, so sending it again adds no load.
     return true;
--- a/src/transport/gateway/gateway_parts.cc
+++ b/src/transport/gateway/gateway_parts.cc
@@ -1,6 +1,5 @@
 /** @file gateway_parts.cc Tells crashed engines from broken connections, for
  * the quarantine of parts of prompts. */
-#include "state/address_func.h"
 #include "transport/gateway/gateway.h"
 
 namespace gv {
@@ -27,12 +26,8 @@
     found->second.crash_.prompts_.push_back(CrashedPrompt{parts, now - sent});
     return;
   }
-  std::string ip;
-  uint16_t port = 0;
-  boost::system::error_code bad;
-  SplitAddress(address, ip, port);
-  const auto host = asio::ip::make_address(ip, bad);
-  if (bad) {
+  const auto endpoint = EndpointOf(address);
+  if (!endpoint) {
     return;
   }
   CrashProbe& probe = crash_probes_[target];
@@ -42,7 +37,7 @@
   probe.crash_.prompts_.push_back(CrashedPrompt{parts, now - sent});
   probe.socket_ = std::make_shared<asio::ip::tcp::socket>(io_);
   probe.socket_->async_connect(
-      asio::ip::tcp::endpoint(host, port),
+      *endpoint,
       [this, target, socket = probe.socket_](boost::system::error_code error) {
         if (error != asio::error::operation_aborted) {
           OnCrashProbe(target, error == asio::error::connection_refused);
--- a/src/transport/gateway/target_connection.cc
+++ b/src/transport/gateway/target_connection.cc
@@ -19,6 +19,18 @@
 
 }  // namespace
 
+std::optional<asio::ip::tcp::endpoint> EndpointOf(const std::string& address) {
+  std::string ip;
+  uint16_t port = 0;
+  boost::system::error_code bad;
+  if (!SplitAddress(address, ip, port)) {
+    return std::nullopt;
+  }
+  const auto host = asio::ip::make_address(ip, bad);
+  return bad ? std::nullopt
+             : std::optional(asio::ip::tcp::endpoint(host, port));
+}
+
 TargetConnection::TargetConnection(
     asio::io_context& io, std::string address,
     std::function<void(TargetConnection&)> closed)
@@ -28,19 +40,14 @@
 
 void TargetConnection::Open(TimePoint now) {
   opened_ = now;
-  std::string ip;
-  uint16_t port = 0;
-  boost::system::error_code bad;
-  SplitAddress(address_, ip, port);
-  const auto host = asio::ip::make_address(ip, bad);
-  if (bad) {
+  const auto endpoint = EndpointOf(address_);
+  if (!endpoint) {
     asio::post(socket_.get_executor(),
                [self = shared_from_this()]() { self->Close(); });
     return;
   }
   socket_.async_connect(
-      asio::ip::tcp::endpoint(host, port),
-      [self = shared_from_this()](boost::system::error_code error) {
+      *endpoint, [self = shared_from_this()](boost::system::error_code error) {
         if (self->closed_) {
           return;
         }
--- a/src/transport/gateway/target_connection.h
+++ b/src/transport/gateway/target_connection.h
@@ -16,6 +16,11 @@
 
 namespace gv {
 
+/** @return The endpoint of "IP:port", or nothing if it is none. Thread safety:
+ * pure. */
+std::optional<boost::asio::ip::tcp::endpoint> EndpointOf(
+    const std::string& address);
+
 /** How an exchange with a target ended. */
 enum class ExchangeEnd : uint8_t {
   kComplete,      ///< The whole answer came.
