Log the limits that targets name

What a target says of its limit is decoded in the adapter and written as target-limit-named; nothing is done with it yet. Tells the hypotheses of the incident apart: limits are read 150 times in nine seconds by two gateways while the target keeps getting 16 or 17 requests a second.

--- a/src/state/event_type.h
+++ b/src/state/event_type.h
@@ -69,6 +69,7 @@
   kEngineCrashed = 628,
   kPartQuarantined = 635,
   kPartAnswered = 636,
+  kTargetLimitNamed = 637,
   kTargetSuspected = 620,
   kTargetTrusted = 621,
   kTargetPaused = 625,
--- a/src/state/table/events.h
+++ b/src/state/table/events.h
@@ -19,7 +19,7 @@
   std::string_view meaning_;  ///< For people.
 };
 
-inline constexpr std::array<EventRow, 70> kEvents{{
+inline constexpr std::array<EventRow, 71> kEvents{{
     {EventId::kProcessStarted, "process-started", EventLevel::kInfo,
      "A process started with its roles."},
     {EventId::kProcessStopping, "process-stopping", EventLevel::kInfo,
@@ -136,6 +136,8 @@
      "A target failed requests; it gets fewer for a while."},
     {EventId::kTargetTrusted, "target-trusted", EventLevel::kInfo,
      "A suspected target answered well again."},
+    {EventId::kTargetLimitNamed, "target-limit-named", EventLevel::kInfo,
+     "A target named a limit of requests for all gateways together."},
     {EventId::kTargetPaused, "target-paused", EventLevel::kInfo,
      "A target refused a request and wants no other one for a while."},
     {EventId::kReservationMade, "reservation-made", EventLevel::kInfo,
--- a/src/transport/gateway/wire_codec.h
+++ b/src/transport/gateway/wire_codec.h
@@ -39,6 +39,14 @@
   std::optional<int> urgency_;          ///< Zero is first.
 };
 
+/** What an answer says of a limit of requests at its target. */
+enum class LimitNews : uint8_t {
+  kNothing,     ///< It does not speak for the target that was asked.
+  kNone,        ///< The target names no limit.
+  kNamed,       ///< The target names a limit.
+  kUnreadable,  ///< What it names is no number of requests.
+};
+
 /** What the header of a target's answer says. */
 struct AnswerFacts {
   bool has_signature_ = false;          ///< It comes from a target that ran it.
@@ -49,6 +57,9 @@
   std::optional<Duration> keep_alive_;  ///< How long it keeps idle connections.
   bool is_leaving_ = false;             ///< The target takes no new work.
   std::optional<Duration> pause_;       ///< It wants no request for so long.
+  LimitNews limit_news_ = LimitNews::kNothing;  ///< Whether it names a limit.
+  double limit_per_second_ = 0;  ///< Requests that the target takes from all
+                                 ///< gateways together, for kNamed.
 };
 
 /** Calls that targets and operators make. */
--- a/tests/platform/platform_codec_test.cc
+++ b/tests/platform/platform_codec_test.cc
@@ -295,5 +295,27 @@
         ControlCall::kUnknown);
 }
 
+TEST_CASE("platform: limits that targets name, and odd ones") {
+  HttpFields answer;
+  CHECK(Codec().read_answer_(200, answer).limit_news_ == LimitNews::kNone);
+  CHECK(Codec().read_answer_(421, answer).limit_news_ == LimitNews::kNothing);
+  for (const auto& [text, limit] : std::map<std::string, double>{
+           {"1", 1}, {"1.1", 1.1}, {"0", 0}, {"0.05", 0.05}, {"1e9", 1e9}}) {
+    CAPTURE(text);
+    answer.set("Server-Limit", text);
+    const AnswerFacts facts = Codec().read_answer_(503, answer);
+    CHECK(facts.limit_news_ == LimitNews::kNamed);
+    CHECK(facts.limit_per_second_ == limit);
+    CHECK(Codec().read_answer_(421, answer).limit_news_ == LimitNews::kNothing);
+  }
+  for (const char* text :
+       {"", "many", "-1", "nan", "inf", "1e999", "1 a second", "0x10"}) {
+    CAPTURE(text);
+    answer.set("Server-Limit", text);
+    CHECK(Codec().read_answer_(200, answer).limit_news_ ==
+          LimitNews::kUnreadable);
+  }
+}
+
 }  // namespace
 }  // namespace gv::platform
