--- a/tests/platform/gateway_rig.cc
+++ b/tests/platform/gateway_rig.cc
@@ -55,11 +55,18 @@
   }
 }
 
-std::string Exchange(uint16_t port, const std::string& request) {
+std::filesystem::path FolderOf(const std::string& ip, uint16_t first_port) {
+  return std::filesystem::temp_directory_path() /
+         ("gv_gateway_" + std::to_string(getpid()) + "_" + ip + "_" +
+          std::to_string(first_port));
+}
+
+std::string Exchange(const std::string& ip, uint16_t port,
+                     const std::string& request) {
   asio::io_context io;
   tcp::socket socket(io);
   error_code error;
-  socket.connect({asio::ip::address_v4::loopback(), port}, error);
+  socket.connect({asio::ip::make_address(ip), port}, error);
   if (error) {
     return "";
   }
@@ -71,40 +78,35 @@
 
 }  // namespace
 
-GatewayRig::GatewayRig(const std::string& configuration, const WireCodec* codec)
-    : folder_(std::filesystem::temp_directory_path() /
-              ("gv_gateway_" + std::to_string(getpid()))),
-      first_port_(FindPorts()) {
+std::string GatewayRig::At(int index) const {
+  return "\"" + ip_ + ":" + std::to_string(first_port_ + index) + "\"";
+}
+
+void GatewayRig::Start(const std::string& more, const WireCodec& codec) {
   std::filesystem::remove_all(folder_);
   std::filesystem::create_directories(folder_);
   std::ofstream(folder_ / "key") << "a-key-of-enough-bytes\n";
-  const auto at = [this](int index) {
-    return "\"127.0.0.1:" + std::to_string(first_port_ + index) + "\"";
-  };
   const std::string folder = folder_.string();
+  const std::string name = "g" + ip_;
   const auto settings = ParseProcessSettings(
-      "gateway.yaml",
-      "node: g1\nvm: g1\ndata_centre: d1\ncluster: c\nkey_file: " + folder +
-          "/key\nroles: [gateway]\nlisten: {peers: " + at(0) + ", callers: " +
-          at(1) + ", readiness: " + at(2) + ", control: " + at(3) +
-          "}\ncontrol: {bootstrap: true, data_folder: " + folder +
-          "/data}\ngateway: {seeds: [" + at(0) + "], tolerated_losses: 0}\n");
+      "gateway.yaml", "node: " + name + "\nvm: " + name +
+                          "\ndata_centre: d1\ncluster: c\nkey_file: " + folder +
+                          "/key\nroles: [gateway]\nlisten: {peers: " + At(0) +
+                          ", callers: " + At(1) + ", readiness: " + At(2) +
+                          ", control: " + At(3) + "}\n" + more);
   REQUIRE_MESSAGE(settings.has_value(),
                   (settings ? "" : settings.error().detail_));
   const int log = open((folder + "/log").c_str(), O_CREAT | O_WRONLY, 0600);
-  gateway_ = std::make_unique<Gateway>(
-      settings.value(), "gateway.yaml",
-      codec != nullptr ? *codec : platform::Codec(), log);
+  gateway_ =
+      std::make_unique<Gateway>(settings.value(), "gateway.yaml", codec, log);
   const auto opened = gateway_->Open();
   REQUIRE_MESSAGE(opened.has_value(), (opened ? "" : opened.error().detail_));
   runner_ = std::thread([this]() { gateway_->Run(); });
+}
+
+void GatewayRig::AwaitReady() const {
   const TimePoint end = SteadyNow() + kPatience;
-  while (Control("PUT", "/v1/configuration", configuration)
-             .rfind("HTTP/1.1 200", 0) != 0) {
-    REQUIRE_MESSAGE(SteadyNow() < end, "the configuration is not accepted");
-    std::this_thread::sleep_for(kRetry);
-  }
-  while (Exchange(static_cast<uint16_t>(first_port_ + 2),
+  while (Exchange(ip_, static_cast<uint16_t>(first_port_ + 2),
                   "GET /v1/readyz HTTP/1.1\r\nHost: x\r\n"
                   "Connection: close\r\n\r\n")
              .rfind("HTTP/1.1 200", 0) != 0) {
@@ -113,6 +115,33 @@
   }
 }
 
+GatewayRig::GatewayRig(const std::string& configuration, const WireCodec* codec)
+    : ip_("127.0.0.1"),
+      first_port_(FindPorts()),
+      folder_(FolderOf(ip_, first_port_)) {
+  Start("control: {bootstrap: true, data_folder: " + folder_.string() +
+            "/data}\ngateway: {seeds: [" + At(0) + "], tolerated_losses: 0}\n",
+        codec != nullptr ? *codec : platform::Codec());
+  const TimePoint end = SteadyNow() + kPatience;
+  while (Control("PUT", "/v1/configuration", configuration)
+             .rfind("HTTP/1.1 200", 0) != 0) {
+    REQUIRE_MESSAGE(SteadyNow() < end, "the configuration is not accepted");
+    std::this_thread::sleep_for(kRetry);
+  }
+  AwaitReady();
+}
+
+GatewayRig::GatewayRig(const GatewayRig& member)
+    : ip_("127.0.0.2"),
+      first_port_(member.first_port_),
+      folder_(FolderOf(ip_, first_port_)) {
+  // Gateways of a cluster have the same ports at different addresses.
+  Start("control: {bootstrap: true}\ngateway: {seeds: [" + member.At(0) +
+            "], tolerated_losses: 0}\n",
+        platform::Codec());
+  AwaitReady();
+}
+
 GatewayRig::~GatewayRig() {
   if (gateway_) {
     gateway_->Halt();
@@ -143,13 +172,13 @@
 }
 
 std::string GatewayRig::Ask(const std::string& request) const {
-  return Exchange(static_cast<uint16_t>(first_port_ + 1), request);
+  return Exchange(ip_, static_cast<uint16_t>(first_port_ + 1), request);
 }
 
 std::string GatewayRig::Control(const std::string& method,
                                 const std::string& path,
                                 const std::string& body) const {
-  return Exchange(static_cast<uint16_t>(first_port_ + 3),
+  return Exchange(ip_, static_cast<uint16_t>(first_port_ + 3),
                   method + " " + path +
                       " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
                       "Content-Length: " +
@@ -158,8 +187,8 @@
 
 tcp::socket GatewayRig::Connect(asio::io_context& io) const {
   tcp::socket socket(io);
-  socket.connect({asio::ip::address_v4::loopback(),
-                  static_cast<uint16_t>(first_port_ + 1)});
+  socket.connect(
+      {asio::ip::make_address(ip_), static_cast<uint16_t>(first_port_ + 1)});
   return socket;
 }
 
--- a/tests/platform/gateway_rig.h
+++ b/tests/platform/gateway_rig.h
@@ -21,8 +21,9 @@
    * the rig; that of the platform if it is null. */
   explicit GatewayRig(const std::string& configuration,
                       const WireCodec* codec = nullptr);
+  /** Starts a gateway without a disk in the cluster of @p member. */
+  explicit GatewayRig(const GatewayRig& member);
   ~GatewayRig();
-  GatewayRig(const GatewayRig&) = delete;
   GatewayRig& operator=(const GatewayRig&) = delete;
 
   /** Registers a target. @param state "ready" or "draining". */
@@ -44,8 +45,16 @@
   void AwaitStop();
 
  private:
+  /** Starts the gateway. @param more Its control and gateway settings. */
+  void Start(const std::string& more, const WireCodec& codec);
+  /** Waits until the gateway has a configuration and a lease. */
+  void AwaitReady() const;
+  /** @return "IP:port" of one of the four ports, quoted. */
+  std::string At(int index) const;
+
+  std::string ip_;                    ///< On loopback.
+  uint16_t first_port_;               ///< Of four, the same in a cluster.
   std::filesystem::path folder_;      ///< Key, data and log.
-  uint16_t first_port_;               ///< Of four.
   std::unique_ptr<Gateway> gateway_;  ///< Under test.
   std::thread runner_;                ///< Runs it.
   uint64_t sequence_ = 0;             ///< Of registrations.
