Give out permits for requests to targets that name a limit

Seen by operators: a target that had named 1 request a second got 12 in four seconds, allowed 11; another one 16 of 12. In the record of the incident both went on getting two to five a second from up to six gateways.

Cause: a limit that a target grants to all gateways together was not known to any of them, and placement by load alone gives each engine its share. Ruled out: retries, shared reading and orders (none in the record), and limits that each gateway keeps by itself (the rate did not change when the limit was named).

--- a/src/coordination/gateway/placement.cc
+++ b/src/coordination/gateway/placement.cc
@@ -59,7 +59,10 @@
   for (const DirectoryEntry* entry : ReadyEntries(request.service_->name_)) {
     const TargetId& id = entry->target_.id_;
     Candidate candidate;
-    if (IsTried(request, id) || !InitCandidate(now, *entry, candidate)) {
+    const bool is_permitted =
+        request.permitted_ ? id == *request.permitted_ : !limits_.IsLimited(id);
+    if (!is_permitted || IsTried(request, id) ||
+        !InitCandidate(now, *entry, candidate)) {
       continue;
     }
     candidate.load_ = ledger_.At(id);
@@ -71,6 +74,34 @@
   return candidates;
 }
 
+std::vector<TargetId> Placer::LimitedTargets(
+    TimePoint now, const PlacementRequest& request) const {
+  std::vector<TargetId> limited;
+  if (limits_.Empty()) {
+    return limited;
+  }
+  for (const DirectoryEntry* entry : ReadyEntries(request.service_->name_)) {
+    const TargetId& id = entry->target_.id_;
+    if (limits_.IsLimited(id) && !IsTried(request, id) &&
+        !health_.IsPaused(now, id) && !health_.IsSuspected(now, id)) {
+      limited.push_back(id);
+    }
+  }
+  return limited;
+}
+
+std::vector<TargetId> Placer::TakePermits(TimePoint now,
+                                          const Placement& placement) const {
+  std::vector<TargetId> limited;
+  for (const PrefillPart& part : placement.work_.parts_) {
+    if (limits_.IsLimited(part.target_)) {
+      limits_.TakePermit(now, part.target_);
+      limited.push_back(part.target_);
+    }
+  }
+  return limited;
+}
+
 void Placer::SortByOrder(std::vector<Candidate>& candidates) {
   std::sort(candidates.begin(), candidates.end(),
             [](const Candidate& a, const Candidate& b) {
--- a/src/coordination/gateway/placement.h
+++ b/src/coordination/gateway/placement.h
@@ -11,6 +11,7 @@
 #include "coordination/gateway/load_ledger.h"
 #include "coordination/gateway/target_directory.h"
 #include "coordination/gateway/target_health.h"
+#include "coordination/gateway/target_limits.h"
 #include "state/routing_type.h"
 
 namespace gv {
@@ -56,6 +57,8 @@
   std::vector<TargetId> tried_;       ///< Targets that failed this request.
   uint64_t hash_ = 0;                 ///< Varies the choice between requests.
   std::vector<TargetId> kept_;        ///< Engines with an idle connection.
+  /** The only target to use: one with a limit, for which there is a permit. */
+  std::optional<TargetId> permitted_;
 };
 
 /** Predicts how long queued short prompts wait for a slot. */
@@ -75,6 +78,14 @@
   PlacedRequest work_;                         ///< Entry for the load ledger.
   double wait_ms_ = 0;          ///< Predicted time to the first event.
   size_t candidate_count_ = 0;  ///< Targets that could be chosen.
+  /** Targets with a limit for which there is a permit. */
+  std::vector<TargetId> permitted_;
+  TimePoint permitted_until_;  ///< End of these permits.
+  /** @return True if there is a permit for @p target. */
+  bool IsPermitted(const TargetId& target) const {
+    return std::find(permitted_.begin(), permitted_.end(), target) !=
+           permitted_.end();
+  }
 };
 
 /**
@@ -91,12 +102,14 @@
  public:
   /** @param own Data centre of this gateway. All references must outlive it. */
   Placer(NodeId self, DataCentreId own, const TargetDirectory& directory,
-         const LoadLedger& ledger, const TargetHealth& health)
+         const LoadLedger& ledger, const TargetHealth& health,
+         TargetLimits& limits)
       : self_(std::move(self)),
         own_data_centre_(std::move(own)),
         directory_(directory),
         ledger_(ledger),
-        health_(health) {}
+        health_(health),
+        limits_(limits) {}
 
   /** @return True if helpers may prefill parts of this prompt. */
   bool IsLong(const PlacementRequest& request) const;
@@ -134,6 +147,21 @@
   std::optional<Placement> Place(TimePoint now,
                                  const PlacementRequest& request) const;
 
+  /** @return Ready targets with a limit that @p request has not tried. They get
+   * requests with a permit only, and Place() leaves them out. */
+  std::vector<TargetId> LimitedTargets(TimePoint now,
+                                       const PlacementRequest& request) const;
+
+  /** Takes a permit for each engine of @p placement that names a limit.
+   * @return These engines. */
+  std::vector<TargetId> TakePermits(TimePoint now,
+                                    const Placement& placement) const;
+
+  /** @return Predicted milliseconds until an engine may get a prompt behind @p
+   * ahead others; above zero only if all engines name limits. */
+  double PermitWaitMs(TimePoint now, const PlacementRequest& request,
+                      const LeaderWork& leader_work, size_t ahead) const;
+
   /** @return How many of @p engines form the short zone.
    * @param short_prompts_per_s Short prompts in a second, or 0 to use only the
    * streams in progress, which follow a burst two seconds late. */
@@ -151,6 +179,7 @@
     int64_t short_streams_ = 0;  ///< Delayed by long prefills.
     bool on_trial_ = false;      ///< One request at a time, after failures.
     int64_t open_parts_ = 0;     ///< Of prompts before their first event.
+    bool is_limited_ = false;    ///< It names a limit of requests.
   };
   /** An engine with all its work known to the leader. */
   struct EngineRow {
@@ -213,6 +242,12 @@
                                ShortChoice& choice);
   static std::vector<const EngineRow*> Untried(
       const std::vector<EngineRow>& rows, const PlacementRequest& request);
+  /** @return Untried rows whose engines may get a request now. */
+  std::vector<const EngineRow*> Usable(TimePoint now,
+                                       const std::vector<EngineRow>& rows,
+                                       const PlacementRequest& request) const;
+  /** @return Penalty of an engine for long prompts, for a short prompt. */
+  double LongZonePenaltyMs(const EngineRow& row) const;
   Placement PlacePlainRequest(std::vector<Candidate>& candidates) const;
   Placement PlacePrompt(TimePoint now, const PlacementRequest& request,
                         std::vector<Candidate>& candidates) const;
@@ -233,7 +268,7 @@
     kShortAnswers,  ///< Answers of short prompts.
   };
   static DecodeKind DecodesAt(const Candidate& candidate);
-  static Candidate LongCandidate(TimePoint now, const EngineRow& row);
+  Candidate LongCandidate(TimePoint now, const EngineRow& row) const;
   /** @return A placement on engines of @p free that decode nothing more
    * sensitive than @p decoding, or nothing if its parts would be too long.
    * @param idle Engines that own no long prompt; the prompt waits until one in
@@ -263,6 +298,7 @@
   const TargetDirectory& directory_;  ///< Known targets.
   const LoadLedger& ledger_;          ///< Work in progress.
   const TargetHealth& health_;        ///< Failures of targets.
+  TargetLimits& limits_;              ///< Limits that targets named.
 
   mutable std::map<std::string, ReadyTargets> ready_targets_;  ///< By service.
   mutable std::map<std::string, EngineTable> engine_tables_;   ///< By service.
--- a/src/coordination/gateway/placement_leader.cc
+++ b/src/coordination/gateway/placement_leader.cc
@@ -87,11 +87,53 @@
   return untried;
 }
 
+std::vector<const Placer::EngineRow*> Placer::Usable(
+    TimePoint now, const std::vector<EngineRow>& rows,
+    const PlacementRequest& request) const {
+  std::vector<const EngineRow*> usable = Untried(rows, request);
+  if (!limits_.Empty()) {
+    std::erase_if(usable, [this, now](const EngineRow* row) {
+      return !limits_.HasPermit(now, row->candidate_.entry_->target_.id_);
+    });
+  }
+  return usable;
+}
+
+double Placer::LongZonePenaltyMs(const EngineRow& row) const {
+  // A limited engine is used as far as it permits, or nobody would hear when
+  // its limit is over.
+  return limits_.IsLimited(row.candidate_.entry_->target_.id_)
+             ? 0
+             : kLeaderLongZonePenaltyMs;
+}
+
+double Placer::PermitWaitMs(TimePoint now, const PlacementRequest& request,
+                            const LeaderWork& leader_work, size_t ahead) const {
+  if (limits_.Empty()) {
+    return 0;
+  }
+  double per_second = 0;
+  size_t permits = 0;
+  for (const EngineRow* row : Untried(
+           UpdatedTable(now, *request.service_, leader_work).rows_, request)) {
+    const TargetId& id = row->candidate_.entry_->target_.id_;
+    if (!limits_.IsLimited(id)) {
+      return 0;
+    }
+    per_second += limits_.PerSecond(id);
+    permits += limits_.HasPermit(now, id) ? 1 : 0;
+  }
+  return per_second <= 0 || ahead < permits
+             ? 0
+             : static_cast<double>(ahead - permits + 1) / per_second *
+                   kMsPerSecond;
+}
+
 std::vector<const Placer::EngineRow*> Placer::LongZone(
     TimePoint now, const PlacementRequest& request,
     const LeaderWork& leader_work) const {
-  std::vector<const EngineRow*> zone =
-      Untried(UpdatedTable(now, *request.service_, leader_work).rows_, request);
+  std::vector<const EngineRow*> zone = Usable(
+      now, UpdatedTable(now, *request.service_, leader_work).rows_, request);
   // A single engine takes both short and long prompts.
   const size_t border =
       zone.size() < 2
@@ -166,7 +208,8 @@
   const EngineProfile& engine = *request.service_->engine_;
   const int64_t tokens = request.prompt_tokens_ + request.answer_tokens_;
   const EngineTable& table = UpdatedTable(now, *request.service_, leader_work);
-  const std::vector<const EngineRow*> engines = Untried(table.rows_, request);
+  const std::vector<const EngineRow*> engines =
+      Usable(now, table.rows_, request);
   const size_t border = ShortZoneSize(now, engine, engines.size(),
                                       leader_work.short_prompts_per_s_);
   ShortChoice choice;
@@ -175,15 +218,15 @@
     all_suspected = all_suspected &&
                     engines[i]->candidate_.penalty_ms_ >= kSuspectedPenaltyMs;
     ConsiderForShort(now, request, *engines[i],
-                     i >= border ? kLeaderLongZonePenaltyMs : 0, choice);
+                     i >= border ? LongZonePenaltyMs(*engines[i]) : 0, choice);
   }
   for (const TargetId& kept : request.kept_) {
     const auto place = table.row_by_engine_.find(kept);
-    if (place != table.row_by_engine_.end() && !IsTried(request, kept)) {
-      const double spill =
-          place->second >= border ? kLeaderLongZonePenaltyMs : 0;
-      ConsiderForShort(now, request, table.rows_[place->second],
-                       spill - kConnectionSetupMs, choice);
+    if (place != table.row_by_engine_.end() && !IsTried(request, kept) &&
+        limits_.HasPermit(now, kept)) {
+      const EngineRow& row = table.rows_[place->second];
+      const double spill = place->second >= border ? LongZonePenaltyMs(row) : 0;
+      ConsiderForShort(now, request, row, spill - kConnectionSetupMs, choice);
     }
   }
   const std::optional<Candidate>& best = choice.best_;
@@ -214,16 +257,20 @@
                                      const PlacementRequest& request,
                                      const LeaderWork& leader_work) const {
   const EngineProfile& engine = *request.service_->engine_;
-  const auto engines = static_cast<double>(
-      Untried(UpdatedTable(now, *request.service_, leader_work).rows_, request)
-          .size());
   const int64_t tokens = request.prompt_tokens_ + request.answer_tokens_;
   const double answer_ms =
       AnswerMs(engine, engine.slots_, engine.slots_ * tokens,
                std::max<int64_t>(1, engine.usual_answer_tokens_));
   SlotTurnover turnover;
-  turnover.slots_freed_per_ms_ =
-      static_cast<double>(engine.slots_) * engines / answer_ms;
+  const double freed_per_ms = static_cast<double>(engine.slots_) / answer_ms;
+  for (const EngineRow* row : Untried(
+           UpdatedTable(now, *request.service_, leader_work).rows_, request)) {
+    const TargetId& id = row->candidate_.entry_->target_.id_;
+    turnover.slots_freed_per_ms_ +=
+        limits_.IsLimited(id)
+            ? std::min(freed_per_ms, limits_.PerSecond(id) / kMsPerSecond)
+            : freed_per_ms;
+  }
   // Half of the interval in progress, and the one before the first event.
   turnover.first_event_ms_ =
       1.5 * EventIntervalMs(engine, engine.slots_, engine.slots_ * tokens) +
@@ -231,8 +278,10 @@
   return turnover;
 }
 
-Placer::Candidate Placer::LongCandidate(TimePoint now, const EngineRow& row) {
+Placer::Candidate Placer::LongCandidate(TimePoint now,
+                                        const EngineRow& row) const {
   Candidate candidate = row.candidate_;
+  candidate.is_limited_ = limits_.IsLimited(candidate.entry_->target_.id_);
   candidate.load_ = row.long_prompts_;
   candidate.load_.prefill_ms_ =
       row.not_by_leader_.prefill_ms_ + row.pending_prefill_.LeftMs(now);
@@ -251,11 +300,15 @@
     const LeaderWork& leader_work) const {
   std::vector<Candidate> free;
   size_t idle = 0;
+  // Orders for reserved memory reach the engine as requests do.
+  const bool needs_reservations =
+      !HasRoom(*request.service_->engine_, Candidate(),
+               request.prompt_tokens_ + request.answer_tokens_);
   for (const EngineRow* row : LongZone(now, request, leader_work)) {
-    if (row->candidate_.on_trial_) {
+    const Candidate candidate = LongCandidate(now, *row);
+    if (candidate.on_trial_ || (needs_reservations && candidate.is_limited_)) {
       continue;
     }
-    const Candidate candidate = LongCandidate(now, *row);
     idle += candidate.load_.requests_ == 0 ? 1 : 0;
     if (candidate.open_parts_ <= kMaxOpenParts &&
         candidate.load_.prefill_ms_ <= kMaxFreeReaderPrefillMs) {
--- a/src/coordination/gateway/prompt_scheduler.cc
+++ b/src/coordination/gateway/prompt_scheduler.cc
@@ -129,7 +129,9 @@
       now, ToPlacementRequest(long_queue_.front()), placed_work_));
   for (size_t i = 0; i < long_queue_.size();) {
     const QueuedPrompt& queued = long_queue_[i];
-    const double wait_ms = LongWaitMs(ahead_ms, queued.prefill_ms_, readers);
+    const double wait_ms = std::max(
+        LongWaitMs(ahead_ms, queued.prefill_ms_, readers),
+        placer_.PermitWaitMs(now, ToPlacementRequest(queued), placed_work_, i));
     const auto left_ms =
         static_cast<double>((queued.latest_first_event_ - now).Ms());
     if (wait_ms <= left_ms + (queued.arrived_ == now ? 0 : kLateToleranceMs)) {
@@ -346,6 +348,7 @@
       static_cast<int64_t>(placement.work_.parts_.front().prefill_ms_);
   placed.wait_ms_ = static_cast<int64_t>(placement.wait_ms_);
   placed.queued_ms_ = (now - queued.arrived_).Ms();
+  placed.permitted_ = placer_.TakePermits(now, placement);
   replies_.push_back({queued.key_.first, std::move(placed)});
 }
 
--- a/src/coordination/gateway/registry_core.cc
+++ b/src/coordination/gateway/registry_core.cc
@@ -62,6 +62,10 @@
           OnPartTable(now, in.from_, body, out);
         } else if constexpr (std::is_same_v<T, RetryAsk>) {
           OnRetryAsk(now, in.from_, body, out);
+        } else if constexpr (std::is_same_v<T, LimitReport>) {
+          OnLimitReport(now, from, body, out);
+        } else if constexpr (std::is_same_v<T, LimitAsk>) {
+          OnLimitAsk(now, in.from_, body, out);
         } else if constexpr (std::is_same_v<T, ReadForward>) {
           OnRead(now, in.from_, body, out);
         } else if constexpr (std::is_same_v<T, ReadOutcome>) {
@@ -96,6 +100,7 @@
   ExpireOperations(now, out);
   TickRetries(now, out);
   TickParts(now, out);
+  TickLimits(now);
 }
 
 bool RegistryCore::IsActiveLeader(TimePoint now) const {
--- a/src/coordination/gateway/registry_core.h
+++ b/src/coordination/gateway/registry_core.h
@@ -14,6 +14,7 @@
 #include "coordination/gateway/registry_type.h"
 #include "coordination/gateway/retry_reserve.h"
 #include "coordination/gateway/target_directory.h"
+#include "coordination/gateway/target_limits.h"
 #include "coordination/replica_core.h"
 #include "protocol/outbox.h"
 
@@ -69,6 +70,19 @@
   PartQuarantine& Parts() { return parts_; }
   const PartQuarantine& Parts() const { return parts_; }
 
+  /** Takes in what an answer of a target says of its limit.
+   * @param per_second The limit, or nothing if it names none.
+   * @param sent When the request was sent. */
+  void OnAnswerLimit(TimePoint now, const TargetId& target,
+                     std::optional<double> per_second, TimePoint sent,
+                     Outbox& out);
+  /** @return Limits that targets named. */
+  TargetLimits& Limits() { return limits_; }
+  const TargetLimits& Limits() const { return limits_; }
+  /** Makes sure that Limits() gives out permits only while this gateway leads.
+   * Call before permits are taken from it. */
+  void SyncLimits(TimePoint now);
+
   /** @return True while no newer configuration than the one served here can
    * have been in force for longer than the revocation bound. */
   bool HasLease(TimePoint now) const { return now < lease_until_; }
@@ -198,6 +212,18 @@
   void RecordParts(EventId id, const std::string& service,
                    const std::vector<PromptPartId>& parts, Outbox& out) const;
 
+  // registry_limits.cc: limits that targets name.
+  void OnLimitReport(TimePoint now, const NodeId& from,
+                     const LimitReport& report, Outbox& out);
+  void OnLimitAsk(TimePoint now, const Endpoint& from, const LimitAsk& ask,
+                  Outbox& out);
+  void AnswerLimitAsk(const Endpoint& from, const LimitAsk& ask,
+                      const std::string& detail, LimitReply reply,
+                      Outbox& out) const;
+  void TickLimits(TimePoint now);
+  void RecordLimit(const std::string& source, const TargetLimitRow& row,
+                   Outbox& out) const;
+
   // registry_targets.cc: registrations and their replication.
   void OnGossip(TimePoint now, const NodeId& from, const TargetGossip& gossip,
                 Outbox& out);
@@ -258,6 +284,9 @@
   PartQuarantine parts_;
   int mismatched_parts_ = 0;  ///< Polls in a row with other quarantines.
 
+  TargetLimits limits_;
+  TimePoint next_limit_expiry_;  ///< When limits of gone targets are removed.
+
   TargetDirectory targets_;
   std::set<TargetId> refreshed_;  ///< Refreshed targets for the next batch.
   std::set<TargetId> changed_;    ///< Changed targets for the next batch.
--- a/src/protocol/message.cc
+++ b/src/protocol/message.cc
@@ -101,5 +101,8 @@
 template Message::Message(EngineCrash);
 template Message::Message(PartsAnswered);
 template Message::Message(PartTable);
+template Message::Message(LimitReport);
+template Message::Message(LimitAsk);
+template Message::Message(LimitReply);
 
 }  // namespace gv
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -53,7 +53,8 @@
     ConfigurationPush, TargetGossip, ChangeForward, ChangeOutcome, ReadForward,
     ReadOutcome, GatewayLoad, PromptAsk, PromptPlaced, PromptRefused,
     PromptStep, PromptQueued, TargetsHeard, TargetsSilent, TargetQuery,
-    RetryAsk, RetryReply, EngineCrash, PartsAnswered, PartTable>;
+    RetryAsk, RetryReply, EngineCrash, PartsAnswered, PartTable, LimitReport,
+    LimitAsk, LimitReply>;
 
 /** True for the types that are alternatives of Variant. */
 template <class T, class Variant>
--- a/src/protocol/registry_messages.h
+++ b/src/protocol/registry_messages.h
@@ -143,15 +143,50 @@
   int64_t tokens_ = 0;  ///< How much.
 };
 
+/** What is known of the limit of a target. */
+struct TargetLimitRow {
+  TargetId target_;        ///< The target.
+  double per_second_ = 0;  ///< Requests that it takes from all gateways.
+  bool is_over_ = false;   ///< The target does not name a limit any more.
+  Duration age_;           ///< Since the receipt of the answer that named it;
+                           ///< if it is over, since the sending of the request
+                           ///< whose answer did not.
+};
+
+/** A gateway to the leader, and the leader to all others: targets named limits,
+ * or stopped to. */
+struct LimitReport {
+  std::vector<TargetLimitRow> rows_;  ///< One for each target.
+};
+
+/** A gateway to the leader: a request wants one of these targets, which all
+ * have a limit. */
+struct LimitAsk {
+  OperationId operation_;                ///< Chosen by the gateway.
+  std::vector<TargetLimitRow> targets_;  ///< Any of them will do.
+  Duration longest_wait_;  ///< Longest time that the request can wait.
+};
+
+/** The leader to a gateway: whether the request may be sent. */
+struct LimitReply {
+  OperationId operation_;  ///< Copied.
+  TargetId target_;        ///< Target of the permit, or the next to have one.
+  bool granted_ = false;   ///< Permits one request to target_.
+  Duration wait_;          ///< Time until it may be sent; if it is refused,
+                           ///< until the caller should return.
+};
+
 /** The leader to a gateway: the prompt may be sent now. */
 struct PromptPlaced {
   OperationId operation_;                      ///< Copied.
   TargetId target_;                            ///< Gets the request.
   std::vector<TargetId> helpers_;              ///< Read parts of the prompt.
   std::vector<ReservationPlan> reservations_;  ///< For prompts that don't fit.
-  int64_t part_ms_ = 0;    ///< Predicted prefill at each engine.
-  int64_t wait_ms_ = 0;    ///< Predicted time to the first event.
-  int64_t queued_ms_ = 0;  ///< Time spent at the leader.
+  int64_t part_ms_ = 0;              ///< Predicted prefill at each engine.
+  int64_t wait_ms_ = 0;              ///< Predicted time to the first event.
+  int64_t queued_ms_ = 0;            ///< Time spent at the leader.
+  std::vector<TargetId> permitted_;  ///< Those with a limit; each counts one
+                                     ///< request.
 };
 
 /** The leader to a gateway: the prompt can't begin in time. */
--- a/src/state/table/events.h
+++ b/src/state/table/events.h
@@ -19,7 +19,7 @@
   std::string_view meaning_;  ///< For people.
 };
 
-inline constexpr std::array<EventRow, 71> kEvents{{
+inline constexpr std::array<EventRow, 74> kEvents{{
     {EventId::kProcessStarted, "process-started", EventLevel::kInfo,
      "A process started with its roles."},
     {EventId::kProcessStopping, "process-stopping", EventLevel::kInfo,
@@ -138,6 +138,12 @@
      "A suspected target answered well again."},
     {EventId::kTargetLimitNamed, "target-limit-named", EventLevel::kInfo,
      "A target named a limit of requests for all gateways together."},
+    {EventId::kTargetLimitOver, "target-limit-over", EventLevel::kInfo,
+     "A target does not name its limit any more."},
+    {EventId::kLimitGranted, "limit-granted", EventLevel::kDebug,
+     "The leader permits a gateway one request to a target with a limit."},
+    {EventId::kLimitRefused, "limit-refused", EventLevel::kInfo,
+     "The leader permits no request to any of the targets with a limit."},
     {EventId::kTargetPaused, "target-paused", EventLevel::kInfo,
      "A target refused a request and wants no other one for a while."},
     {EventId::kReservationMade, "reservation-made", EventLevel::kInfo,
--- a/src/transport/gateway/forward.cc
+++ b/src/transport/gateway/forward.cc
@@ -230,6 +230,9 @@
   if (retry_ask_) {
     gateway_.ForgetRetryAsk(*retry_ask_);
   }
+  if (limit_ask_) {
+    gateway_.ForgetLimitAsk(*limit_ask_);
+  }
   EndLeaderRequest();
   ReleaseTickets();
   gateway_.OnForwardEnded(*this);
@@ -281,6 +284,10 @@
   if (ended_) {
     return;
   }
+  UseLimitPermit(now);
+  if (ended_) {
+    return;
+  }
   RenewTickets(now);
   CheckProgress(now);
 }
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -22,6 +22,8 @@
 
 /** Reason for refusing a prompt with a part that crashes engines. */
 inline constexpr const char* kQuarantined = "part-crashes-engines";
+/** Reason for refusing what only targets with a limit could take. */
+inline constexpr const char* kTargetLimit = "target-limit";
 
 /**
  * Forwards one request: admits it, sends it to a target, retries at other
@@ -73,6 +75,13 @@
     bool is_trial_ = false;  ///< Sent after the quarantine of one of its parts.
   };
 
+  /** Permit of the leader for one request to a target with a limit. */
+  struct LimitPermit {
+    TargetId target_;  ///< The target.
+    TimePoint from_;   ///< When the request may be sent.
+    TimePoint until_;  ///< When the permit ends.
+  };
+
   /** A failed attempt, after which another target may be tried. */
   struct FailedAttempt {
     AttemptEnd end_;      ///< Whether it ran.
@@ -97,10 +106,11 @@
   RequestTimes Times() const;
 
   // forward_attempt.cc: attempts at targets and their outcomes.
+  PlacementRequest ToPlace() const;
   void StartAttempt();
   bool CanMeetObjective(const Placement& placement) const;
   void SendTo(const Placement& placement);
-  void PlaceElsewhere(const TargetId& target);
+  void PlaceElsewhere(const TargetId& target, const char* reason);
   std::string BuildRequest(const Placement& placement) const;
   std::vector<std::string> HelperList(const Placement& placement) const;
   ExchangeHandler MakeHandler();
@@ -116,6 +126,7 @@
                       HealthOutcome health = HealthOutcome::kUnreachable);
   bool IsSignedAnswer() const;
   AttemptHistory History() const;
+  Duration RetryAfterOf(const std::string& reason) const;
   void FinishWithoutRetry(const AttemptEnd& end, const std::string& reason);
 
   // forward_parts.cc: parts of prompts that crash engines.
@@ -134,6 +145,14 @@
   void DoNotRetry(const char* cause);
   std::string RetryDetail() const;
 
+  // forward_limit.cc: permits for targets with a limit.
+  bool AskForLimitedTarget(const PlacementRequest& to_place, bool has_other);
+  bool HasLimitPermit(const Placement& placement);
+  void AskForLimitPermit(const std::vector<TargetId>& targets,
+                         Duration longest_wait);
+  void OnLimitReply(TimePoint asked, const LimitReply& reply);
+  void UseLimitPermit(TimePoint now);
+
   // forward_answer.cc: delivery of the answer to the caller.
   void PassEvents(const std::string& data);
   void BeginAnswer();
@@ -192,6 +211,14 @@
   TimePoint next_retry_ask_;  ///< Earliest ask for a silent attempt.
   /** End of the permit for one retry. */
   TimePoint retry_permit_until_;
+  /** Targets with a limit were asked for in this attempt. */
+  bool limit_asked_ = false;
+  std::optional<OperationId> limit_ask_;     ///< Open at the leader.
+  std::optional<LimitPermit> limit_permit_;  ///< Not used yet.
+  /** Placement whose target has a limit that the leader did not know of. */
+  std::optional<Placement> unpermitted_;
+  /** Time until the caller should return, after a permit was refused. */
+  std::optional<Duration> limit_wait_;
   /** Splits the event stream and drops events that the caller already has. */
   EventSplitter events_;
   /** Latest failure answer given by a target itself. */
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -62,23 +62,32 @@
   }
 }
 
-void Forward::StartAttempt() {
-  if (RefuseQuarantined()) {
-    return;
-  }
+PlacementRequest Forward::ToPlace() const {
   PlacementRequest to_place;
   to_place.service_ = &service_;
   to_place.prompt_tokens_ = IsPrompt() ? facts_.prompt_tokens_ : 0;
   to_place.answer_tokens_ = facts_.answer_tokens_;
   to_place.tried_ = tried_;
   to_place.hash_ = std::hash<std::string>()(facts_.attempt_);
+  return to_place;
+}
+
+void Forward::StartAttempt() {
+  if (RefuseQuarantined()) {
+    return;
+  }
+  const PlacementRequest to_place = ToPlace();
   if (RequestPlacement(to_place)) {
     return;
   }
   std::optional<Placement> placement =
       gateway_.GetPlacer().Place(gateway_.Now(), to_place);
+  if (AskForLimitedTarget(to_place, placement.has_value())) {
+    return;
+  }
   if (!placement) {
-    FinishWithoutRetry(AttemptEnd{RunState::kNotRun, false}, "no-target");
+    FinishWithoutRetry(AttemptEnd{RunState::kNotRun, false},
+                       limit_wait_ ? kTargetLimit : "no-target");
     return;
   }
   if (sent_ == 0 && !CanMeetObjective(*placement)) {
@@ -110,10 +119,10 @@
 void Forward::SendTo(const Placement& placement) {
   const TimePoint now = gateway_.Now();
   if (!gateway_.MaySendTo(placement.target_)) {
-    PlaceElsewhere(placement.target_);
+    PlaceElsewhere(placement.target_, "target-not-ready");
     return;
   }
-  if (RefuseQuarantined()) {
+  if (RefuseQuarantined() || !HasLimitPermit(placement)) {
     return;
   }
   if (!ObtainRetryPermit()) {
@@ -146,6 +155,7 @@
       "tries=" + std::to_string(sent_) + " service=" + service_.name_ +
           " candidates=" + std::to_string(placement.candidate_count_) +
           " wait_ms=" + std::to_string(int64_t(placement.wait_ms_)) +
+          " limited=" + (gateway_.IsLimited(placement.target_) ? "1" : "0") +
           " helpers=" + std::to_string(placement.helpers_.size()) +
           " readers=" + JoinIds(placement.helpers_) +
           " age_ms=" + std::to_string((now - entry->last_heartbeat_).Ms()) +
@@ -155,12 +165,12 @@
                                MakeHandler());
 }
 
-void Forward::PlaceElsewhere(const TargetId& target) {
-  // The target left or asked for a pause after it was chosen. The leader may
-  // not know yet, so the next placement is made without it.
-  Log(EventId::kForwardRetried,
-      "reason=target-not-ready chosen=" + target.Value() +
-          " sent=" + std::to_string(sent_));
+void Forward::PlaceElsewhere(const TargetId& target, const char* reason) {
+  // The target left, asked for a pause or named a limit after it was chosen.
+  // The leader may not know yet, so the next placement is made without it.
+  Log(EventId::kForwardRetried, std::string("reason=") + reason +
+                                    " chosen=" + target.Value() +
+                                    " sent=" + std::to_string(sent_));
   tried_.push_back(target);
   EndLeaderRequest();
   ReleaseTickets();
@@ -207,7 +217,8 @@
   std::vector<std::string> list;
   for (const TargetId& helper : placement.helpers_) {
     const DirectoryEntry* entry = gateway_.Registry().Targets().Find(helper);
-    if (entry == nullptr || !gateway_.MaySendTo(helper)) {
+    if (entry == nullptr || !gateway_.MaySendTo(helper) ||
+        (gateway_.IsLimited(helper) && !placement.IsPermitted(helper))) {
       continue;
     }
     std::string text = entry->target_.address_;
@@ -246,6 +257,10 @@
   attempt_->facts_ = gateway_.Codec().read_answer_(status, fields);
   attempt_->last_progress_ = gateway_.Now();
   gateway_.OnAnswerFacts(attempt_->target_, attempt_->facts_);
+  if (IsAnswerToThisRequest()) {
+    gateway_.OnAnswerLimit(attempt_->target_, attempt_->facts_,
+                           attempt_->sent_at_);
+  }
   attempt_->is_streamed_ =
       IsSignedAnswer() && status >= kSuccess && status < kRedirect &&
       route_.kind_ == RouteKind::kStream && attempt_->facts_.is_event_stream_;
@@ -394,6 +409,13 @@
   OnAttemptFailed(AttemptEnd{RunState::kMayHaveRun, false}, health, reason);
 }
 
+Duration Forward::RetryAfterOf(const std::string& reason) const {
+  if (reason == kTargetLimit) {
+    return limit_wait_.value_or(kRetryAfterNoTarget);
+  }
+  return reason == "no-target" ? kRetryAfterNoTarget : kRetryAfterFull;
+}
+
 void Forward::FinishWithoutRetry(const AttemptEnd& end,
                                  const std::string& reason) {
   switch (DecideFinalStep(History(), end)) {
@@ -401,8 +423,7 @@
       PassTargetFailure();
       return;
     case FinalStep::kRefuse:
-      Refuse(kUnavailable, reason,
-             reason == "no-target" ? kRetryAfterNoTarget : kRetryAfterFull);
+      Refuse(kUnavailable, reason, RetryAfterOf(reason));
       return;
     case FinalStep::kFail:
     case FinalStep::kTruncateAnswer:
--- a/src/transport/gateway/forward_prompt.cc
+++ b/src/transport/gateway/forward_prompt.cc
@@ -100,6 +100,8 @@
   placed_request.service_ = &service_;
   placed_request.prompt_tokens_ = facts_.prompt_tokens_;
   placement.work_.is_short_ = !gateway_.GetPlacer().IsLong(placed_request);
+  placement.permitted_ = placed->permitted_;
+  placement.permitted_until_ = gateway_.Now() + kLimitPermitLifetime;
   placement.work_.placed_by_ = gateway_.LeaderOfRequest(*leader_operation_);
   placement.work_.wait_ms_ = placement.wait_ms_;
   const auto part_ms = static_cast<double>(placed->part_ms_);
--- a/src/transport/gateway/forward_reserve.cc
+++ b/src/transport/gateway/forward_reserve.cc
@@ -17,6 +17,12 @@
 }  // namespace
 
 void Forward::Reserve(const Placement& placement) {
+  for (const ReservationPlan& plan : placement.reservations_) {
+    if (gateway_.IsLimited(plan.target_)) {
+      PlaceElsewhere(plan.target_, kTargetLimit);
+      return;
+    }
+  }
   pending_placement_ = placement;
   tickets_.clear();
   for (const ReservationPlan& plan : placement.reservations_) {
@@ -75,17 +81,16 @@
   next_renewal_ = now + kTicketRenewalPeriod;
   for (const Ticket& ticket : tickets_) {
     if (ticket.held_) {
-      gateway_.SendOrder(ticket.address_,
-                         gateway_.Codec().encode_reserve_(
-                             ticket.name_, ticket.tokens_, kTicketLifetime),
-                         [](unsigned /*status*/) {});
+      gateway_.RenewTicket(ticket.target_, ticket.address_,
+                           gateway_.Codec().encode_reserve_(
+                               ticket.name_, ticket.tokens_, kTicketLifetime));
     }
   }
 }
 
 void Forward::ReleaseTickets() {
   for (const Ticket& ticket : tickets_) {
-    gateway_.ReleaseTicket(ticket.address_, ticket.name_);
+    gateway_.ReleaseTicket(ticket.target_, ticket.address_, ticket.name_);
   }
   tickets_.clear();
   pending_placement_.reset();
--- a/src/transport/gateway/forward_retry.cc
+++ b/src/transport/gateway/forward_retry.cc
@@ -115,6 +115,7 @@
 void Forward::Retry() {
   Log(answer_begun_ ? EventId::kForwardResumed : EventId::kForwardRetried,
       RetryDetail());
+  limit_asked_ = false;
   StartAttempt();
 }
 
--- a/src/transport/gateway/gateway.cc
+++ b/src/transport/gateway/gateway.cc
@@ -75,7 +75,7 @@
       log_(log, settings_.node_),
       registry_(MakeRegistrySettings(settings_)),
       placer_(self_, DataCentreId(settings_.data_centre_), registry_.Targets(),
-              ledger_, health_),
+              ledger_, health_, registry_.Limits()),
       scheduler_(placer_),
       pool_(io_),
       reopen_disk_(TimePoint::Never()),
@@ -204,6 +204,7 @@
   TickRequests(now);
   TickOrders(now);
   TickCrashProbes(now);
+  TickLimitAsks(now);
   scheduler_.OnTick(now);
   SendSchedulerReplies();
   ShareLoad(now);
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -93,8 +93,16 @@
   PartQuarantine& Parts() { return registry_.Parts(); }
   /** Takes in what an answer says of its target beside the answer. */
   void OnAnswerFacts(const TargetId& target, const AnswerFacts& facts);
+  /** Takes in what an answer says of the limit of its target.
+   * @param sent When the request was sent. */
+  void OnAnswerLimit(const TargetId& target, const AnswerFacts& facts,
+                     TimePoint sent);
   /** @return True if a request may be sent to @p target now. */
   bool MaySendTo(const TargetId& target) const;
+  /** @return True if requests to @p target need a permit of the leader. */
+  bool IsLimited(const TargetId& target) const {
+    return registry_.Limits().IsLimited(target);
+  }
   /** Forgets a request. */
   void OnForwardEnded(const Forward& forward);
   void Record(const Event& event);
@@ -134,11 +142,35 @@
                           std::function<void(bool)> done);
   /** The answer is not needed any more. Ignores unknown ids. */
   void ForgetRetryAsk(OperationId operation) { retry_asks_.erase(operation); }
+  /**
+   * Asks the leader for a permit for one request to any of @p targets, which
+   * name limits.
+   * @param longest_wait Longest time that the request can wait for its permit.
+   * @param done Called once, also without an answer of the leader.
+   * @return For ForgetLimitAsk. @pre IsLeaderAvailable().
+   */
+  OperationId AskForLimitPermit(const std::vector<TargetId>& targets,
+                                Duration longest_wait,
+                                std::function<void(const LimitReply&)> done);
+  /** The permit is not needed any more. Ignores unknown ids. */
+  void ForgetLimitAsk(OperationId operation) { limit_asks_.erase(operation); }
+  /** @return When to ask again for targets with a limit of a service that has
+   * other targets as well. */
+  TimePoint NextLimitAsk(const std::string& service) const;
+  /** Sets the result of NextLimitAsk(). */
+  void SetNextLimitAsk(const std::string& service, TimePoint time) {
+    next_limit_asks_[service] = time;
+  }
   /** Posts an order to a target. @param done Gets its status, or 0. */
   void SendOrder(const std::string& address, const TargetOrder& order,
                  std::function<void(unsigned)> done);
-  /** Ends a reservation; tried again a few times. */
-  void ReleaseTicket(const std::string& address, const std::string& ticket);
+  /** Renews a reservation; at a target with a limit once there is a permit. */
+  void RenewTicket(const TargetId& target, const std::string& address,
+                   const TargetOrder& order);
+  /** Ends a reservation; tried again a few times. A target with a limit ends it
+   * by itself when its lifetime is over. */
+  void ReleaseTicket(const TargetId& target, const std::string& address,
+                     const std::string& ticket);
 
  private:
   /** An order on its way. */
@@ -154,6 +186,11 @@
     NodeId leader_;                             ///< Who was asked.
     std::function<void(const Message&)> done_;  ///< Until it has answered.
   };
+  /** A request for a permit that is open at the leader. */
+  struct OpenLimitAsk {
+    TimePoint until_;                              ///< When it is given up.
+    std::function<void(const LimitReply&)> done_;  ///< Gets the answer.
+  };
   /** A connection attempt that tells whether an engine has crashed. */
   struct CrashProbe {
     std::shared_ptr<boost::asio::ip::tcp::socket> socket_;
@@ -221,6 +258,10 @@
   // gateway_retries.cc: budget of retries.
   void OnRetryReply(const RetryReply& reply);
 
+  // gateway_limits.cc: permits for targets that name a limit.
+  void OnLimitReply(const LimitReply& reply);
+  void TickLimitAsks(TimePoint now);
+
   // gateway_orders.cc: orders to targets.
   void FinishOrder(uint64_t id);
   void TickOrders(TimePoint now);
@@ -242,11 +283,13 @@
   KnownRoutes known_routes_;           ///< Of the newest that was decoded.
   std::map<std::string, RetryAllowance> retries_;  ///< By service.
   std::map<OperationId, std::function<void(bool)>>
-      retry_asks_;                      ///< Open at a leader.
-  std::unique_ptr<PeerNetwork> peers_;  ///< Other gateways.
-  std::unique_ptr<FileDisk> disk_;      ///< Of the replica, or null.
-  uint64_t disk_number_ = 0;            ///< Counts openings of the disk.
-  TimePoint reopen_disk_;               ///< When to try again; Never if open.
+      retry_asks_;                                    ///< Open at a leader.
+  std::map<OperationId, OpenLimitAsk> limit_asks_;    ///< Open at a leader.
+  std::map<std::string, TimePoint> next_limit_asks_;  ///< By service.
+  std::unique_ptr<PeerNetwork> peers_;                ///< Other gateways.
+  std::unique_ptr<FileDisk> disk_;  ///< Of the replica, or null.
+  uint64_t disk_number_ = 0;        ///< Counts openings of the disk.
+  TimePoint reopen_disk_;           ///< When to try again; Never if open.
 
   boost::asio::ip::tcp::acceptor acceptor_;  ///< For callers.
   HttpService readiness_;                    ///< For the balancer.
--- a/src/transport/gateway/gateway_calls.cc
+++ b/src/transport/gateway/gateway_calls.cc
@@ -196,13 +196,6 @@
     registry_.MarkLeaving(target, out);
     CarryOut(out);
   }
-  if (facts.limit_news_ == LimitNews::kNamed) {
-    Event event;
-    event.id_ = EventId::kTargetLimitNamed;
-    event.target_ = target;
-    event.detail_ = "per_second=" + std::to_string(facts.limit_per_second_);
-    Record(event);
-  }
   if (facts.pause_) {
     health_.OnPause(Now(), target, *facts.pause_);
     Event event;
--- /dev/null
+++ b/src/transport/gateway/gateway_limits.cc
@@ -0,0 +1,97 @@
+/** @file gateway_limits.cc Permits for requests to targets that name a limit.
+ */
+#include "transport/gateway/gateway.h"
+
+namespace gv {
+namespace {
+
+/** Wait after a leader that did not answer; by then there is another one. */
+constexpr Duration kWaitAfterSilence = 1_s;
+
+}  // namespace
+
+void Gateway::OnAnswerLimit(const TargetId& target, const AnswerFacts& facts,
+                            TimePoint sent) {
+  Outbox out(Endpoint{self_, Port::kControl});
+  switch (facts.limit_news_) {
+    case LimitNews::kNothing:
+      return;
+    case LimitNews::kUnreadable: {
+      Event event;
+      event.id_ = EventId::kBadInput;
+      event.target_ = target;
+      event.detail_ = "the limit in an answer is no number of requests";
+      Record(event);
+      return;
+    }
+    case LimitNews::kNone:
+      registry_.OnAnswerLimit(Now(), target, std::nullopt, sent, out);
+      break;
+    case LimitNews::kNamed:
+      registry_.OnAnswerLimit(Now(), target, facts.limit_per_second_, sent,
+                              out);
+      break;
+  }
+  CarryOut(out);
+}
+
+OperationId Gateway::AskForLimitPermit(
+    const std::vector<TargetId>& targets, Duration longest_wait,
+    std::function<void(const LimitReply&)> done) {
+  const TimePoint now = Now();
+  last_placement_request_ = last_placement_request_.Next();
+  const OperationId operation = last_placement_request_;
+  LimitAsk ask;
+  ask.operation_ = operation;
+  ask.longest_wait_ = longest_wait;
+  for (const TargetId& target : targets) {
+    if (const auto row = registry_.Limits().Row(now, target)) {
+      ask.targets_.push_back(*row);
+    }
+  }
+  limit_asks_[operation] =
+      OpenLimitAsk{now + kLimitReplyTimeout, std::move(done)};
+  Outbox out(Endpoint{self_, Port::kControl});
+  out.Send({registry_.Leader(), Port::kControl}, std::move(ask));
+  CarryOut(out);
+  return operation;
+}
+
+void Gateway::OnLimitReply(const LimitReply& reply) {
+  last_leader_reply_ = Now();
+  const auto found = limit_asks_.find(reply.operation_);
+  if (found == limit_asks_.end()) {
+    return;
+  }
+  const auto done = std::move(found->second.done_);
+  limit_asks_.erase(found);
+  done(reply);
+}
+
+void Gateway::TickLimitAsks(TimePoint now) {
+  std::vector<OperationId> late;
+  for (const auto& [operation, ask] : limit_asks_) {
+    if (now >= ask.until_) {
+      late.push_back(operation);
+    }
+  }
+  for (const OperationId operation : late) {
+    const auto found = limit_asks_.find(operation);
+    if (found == limit_asks_.end()) {
+      continue;
+    }
+    const auto done = std::move(found->second.done_);
+    limit_asks_.erase(found);
+    LimitReply refused;
+    refused.operation_ = operation;
+    refused.wait_ = kWaitAfterSilence;
+    done(refused);
+  }
+}
+
+TimePoint Gateway::NextLimitAsk(const std::string& service) const {
+  const auto found = next_limit_asks_.find(service);
+  return found == next_limit_asks_.end() ? TimePoint() : found->second;
+}
+
+}  // namespace gv
--- a/src/transport/gateway/gateway_orders.cc
+++ b/src/transport/gateway/gateway_orders.cc
@@ -58,8 +58,28 @@
   order.done_(order.status_);
 }
 
-void Gateway::ReleaseTicket(const std::string& address,
+void Gateway::RenewTicket(const TargetId& target, const std::string& address,
+                          const TargetOrder& order) {
+  const auto ignore = [](unsigned /*status*/) {};
+  if (!IsLimited(target)) {
+    SendOrder(address, order, ignore);
+  } else if (IsLeaderAvailable()) {
+    AskForLimitPermit({target}, Duration(),
+                      [this, address, order, ignore](const LimitReply& reply) {
+                        if (reply.granted_) {
+                          SendOrder(address, order, ignore);
+                        }
+                      });
+  }
+}
+
+void Gateway::ReleaseTicket(const TargetId& target, const std::string& address,
                             const std::string& ticket) {
+  if (IsLimited(target)) {
+    Record(EventId::kReservationReleased,
+           "ticket=" + ticket + " by=its-lifetime holder=" + target.Value());
+    return;
+  }
   releases_.push_back(OpenRelease{address, ticket, 0, Now()});
   TickOrders(Now());
 }
--- a/src/transport/gateway/gateway_prompts.cc
+++ b/src/transport/gateway/gateway_prompts.cc
@@ -80,11 +80,13 @@
   if (const auto* ask = std::get_if<PromptAsk>(&body)) {
     const Service* service =
         table_ ? table_->FindService(ask->service_) : nullptr;
+    registry_.SyncLimits(Now());
     scheduler_.OnPlacementRequest(Now(), from, *ask, service);
   } else if (const auto* step = std::get_if<PromptStep>(&body)) {
     if (from != self_ && !step->target_.IsNone()) {
       health_.OnReport(Now(), from, step->target_, step->outcome_);
     }
+    registry_.SyncLimits(Now());
     scheduler_.OnPromptProgress(Now(), from, *step);
   } else if (const auto* placed = std::get_if<PromptPlaced>(&body)) {
     HandlePlacementReply(placed->operation_, body);
--- a/src/transport/gateway/gateway_registry.cc
+++ b/src/transport/gateway/gateway_registry.cc
@@ -102,6 +102,10 @@
     OnRetryReply(*reply);
     return;
   }
+  if (const auto* limit = std::get_if<LimitReply>(&in.body_)) {
+    OnLimitReply(*limit);
+    return;
+  }
   Outbox out(Endpoint{self_, Port::kControl});
   registry_.OnMessage(Now(), in, out);
   CarryOut(out);
--- a/tests/placement_rows_test.cc
+++ b/tests/placement_rows_test.cc
@@ -128,7 +128,7 @@
       const PlacementRequest request = leader.RandomRequest();
       const Placer new_placer(leader.rig_.node_, DataCentreId("dc"),
                               leader.directory_, leader.rig_.ledger_,
-                              leader.rig_.health_);
+                              leader.rig_.health_, leader.rig_.limits_);
       const auto kept = leader.Place(leader.rig_.placer_, request);
       const auto recomputed = leader.Place(new_placer, request);
       REQUIRE(kept.has_value() == recomputed.has_value());
--- a/tests/support/gateway_engines.h
+++ b/tests/support/gateway_engines.h
@@ -44,10 +44,12 @@
 struct PlacementFixture {
   PlacementFixture(const std::string& name, const TargetDirectory& directory)
       : node_(name),
-        placer_(node_, DataCentreId("dc"), directory, ledger_, health_) {}
+        placer_(node_, DataCentreId("dc"), directory, ledger_, health_,
+                limits_) {}
   NodeId node_;          ///< Name of the gateway.
   LoadLedger ledger_;    ///< Load of the targets.
   TargetHealth health_;  ///< Failures of the targets.
+  TargetLimits limits_;  ///< Limits that the targets named.
   Placer placer_;        ///< Placer under test.
 };
 
--- a/tests/support/registry_group.cc
+++ b/tests/support/registry_group.cc
@@ -100,9 +100,12 @@
     now_ = now_ + Duration(1);
     for (const Envelope& envelope : link_.TakeDue(now_)) {
       RegistryHost& host = Host(envelope.to_.node_.Value());
-      const auto* reply = std::get_if<RetryReply>(&envelope.body_);
-      if (reply != nullptr) {
-        host.retry_replies_.push_back(*reply);
+      const auto* retry = std::get_if<RetryReply>(&envelope.body_);
+      const auto* limit = std::get_if<LimitReply>(&envelope.body_);
+      if (retry != nullptr) {
+        host.retry_replies_.push_back(*retry);
+      } else if (limit != nullptr) {
+        host.limit_replies_.push_back(*limit);
       } else if (host.core_) {
         Step(host, envelope);
       }
@@ -211,7 +214,16 @@
   CarryOut(host, out);
 }
 
-void RegistryGroup::AskForRetry(const std::string& at, const RetryAsk& ask) {
+void RegistryGroup::AnswerLimit(const std::string& at, const TargetId& target,
+                                std::optional<double> per_second,
+                                TimePoint sent) {
+  RegistryHost& host = Host(at);
+  Outbox out(Endpoint{host.node_, Port::kControl});
+  host.core_->OnAnswerLimit(NowOf(host), target, per_second, sent, out);
+  CarryOut(host, out);
+}
+
+void RegistryGroup::AskLeader(const std::string& at, const Message& ask) {
   RegistryHost& host = Host(at);
   if (host.core_ && !host.core_->Leader().IsNone()) {
     Outbox out(Endpoint{host.node_, Port::kControl});
--- a/tests/support/registry_group.h
+++ b/tests/support/registry_group.h
@@ -24,6 +24,7 @@
   std::vector<OperationResult>
       completed_operations_;               ///< Completed since the last crash.
   std::vector<RetryReply> retry_replies_;  ///< Since they were taken.
+  std::vector<LimitReply> limit_replies_;  ///< Since they were taken.
   uint64_t starts_ = 0;                    ///< Number of starts so far.
   Duration clock_offset_;  ///< Time by which its clock is ahead.
 };
@@ -75,8 +76,12 @@
   /** An answer to a prompt with @p parts begins at the gateway @p at. */
   void BeginAnswer(const std::string& at, const std::string& service,
                    const std::vector<PromptPartId>& parts);
-  /** Asks the leader that @p at knows, if any, for a permit of a retry. */
-  void AskForRetry(const std::string& at, const RetryAsk& ask);
+  /** Sends a request for a permit to the leader that @p at knows, if any. */
+  void AskLeader(const std::string& at, const Message& ask);
+  /** An answer of a target with this limit, or none, comes to the gateway
+   * @p at. @param sent When the request was sent, on the clock of @p at. */
+  void AnswerLimit(const std::string& at, const TargetId& target,
+                   std::optional<double> per_second, TimePoint sent);
   /** @return The time on the clock of @p host. */
   TimePoint NowOf(const RegistryHost& host) const {
     return now_ + host.clock_offset_;
--- a/tests/support/retry_fleet.cc
+++ b/tests/support/retry_fleet.cc
@@ -37,7 +37,7 @@
     last_operation_ = last_operation_.Next();
     open_[last_operation_] =
         OpenAsk{gateway, group_.Host(gateway).starts_, group_.now_};
-    group_.AskForRetry(gateway, RetryAsk{last_operation_, "model"});
+    group_.AskLeader(gateway, RetryAsk{last_operation_, "model"});
   }
 }
 
