--- a/tests/support/limit_fleet.cc
+++ b/tests/support/limit_fleet.cc
@@ -19,14 +19,15 @@
 
 Duration LimitFleet::Transit() {
   const LinkFaults& faults = group_.link_.faults_;
-  const auto spread = static_cast<uint64_t>(
-      (faults.delay_max_ - faults.delay_min_).Ms() + 1);
+  const auto spread =
+      static_cast<uint64_t>((faults.delay_max_ - faults.delay_min_).Ms() + 1);
   return faults.delay_min_ + Duration(static_cast<int64_t>(random_() % spread));
 }
 
 void LimitFleet::Send(const std::string& gateway, TimePoint at) {
-  arriving_.emplace(at + Transit(), Planned{gateway, group_.Host(gateway).starts_,
-                                            at, std::nullopt});
+  arriving_.emplace(
+      at + Transit(),
+      Planned{gateway, group_.Host(gateway).starts_, at, std::nullopt});
 }
 
 bool LimitFleet::IsLimited(const std::string& gateway) {
@@ -38,8 +39,7 @@
     if (!host.core_) {
       continue;
     }
-    const auto row =
-        host.core_->Limits().Row(group_.NowOf(host), target_);
+    const auto row = host.core_->Limits().Row(group_.NowOf(host), target_);
     if (!IsLimited(name)) {
       Send(name, group_.now_);
       continue;
--- a/tests/support/limit_fleet.h
+++ b/tests/support/limit_fleet.h
@@ -39,8 +39,8 @@
   /** Something that a gateway does at a time, unless it is killed before. */
   struct Planned {
     std::string gateway_;
-    uint64_t start_ = 0;  ///< Of the gateway.
-    TimePoint sent_;      ///< When its request was sent; unset before.
+    uint64_t start_ = 0;           ///< Of the gateway.
+    TimePoint sent_;               ///< When its request was sent; unset before.
     std::optional<double> named_;  ///< Of the answer.
   };
   struct OpenAsk {
@@ -59,7 +59,7 @@
   RegistryGroup group_;
   std::optional<double> named_;
   LimitRule rule_;
-  std::multimap<TimePoint, Planned> arriving_;  ///< Requests at the target.
+  std::multimap<TimePoint, Planned> arriving_;   ///< Requests at the target.
   std::multimap<TimePoint, Planned> answering_;  ///< Answers at gateways.
   std::map<OperationId, OpenAsk> open_;
   OperationId last_operation_;
--- a/tests/support/limit_rule.h
+++ b/tests/support/limit_rule.h
@@ -94,8 +94,8 @@
     return allowed;
   }
 
-  std::vector<Named> named_;  ///< In order of time.
-  TimePoint first_named_;     ///< Of the limit in force.
+  std::vector<Named> named_;               ///< In order of time.
+  TimePoint first_named_;                  ///< Of the limit in force.
   std::map<std::string, TimePoint> told_;  ///< By gateway.
   std::vector<TimePoint> counted_;         ///< Arrivals that count.
   int64_t arrivals_ = 0;
--- a/tests/target_limits_test.cc
+++ b/tests/target_limits_test.cc
@@ -1,10 +1,11 @@
 /** @file target_limits_test.cc Tests of the limits that targets name for all
  * gateways together. */
+#include "coordination/gateway/target_limits.h"
+
 #include <doctest/doctest.h>
 
 #include <cmath>
 
-#include "coordination/gateway/target_limits.h"
 #include "support/limit_fleet.h"
 
 namespace gv {
