Build the tests of limits with clang too; do not read a reply after its move

The detail of limit-granted and limit-refused was put together in the call that moves the reply; the order was up to the compiler. Found by lint.

--- a/src/coordination/gateway/registry_limits.cc
+++ b/src/coordination/gateway/registry_limits.cc
@@ -95,12 +95,11 @@
       limits_.TakePermitWithin(now, reply.target_, ask.longest_wait_);
   reply.granted_ = wait.has_value();
   reply.wait_ = wait ? *wait : limits_.NextReturn(now, reply.target_);
-  AnswerLimitAsk(
-      from, ask,
+  const std::string detail =
       "per_second=" + std::to_string(limits_.PerSecond(reply.target_)) +
-          " next_ms=" +
-          std::to_string(limits_.UntilPermit(now, reply.target_).Ms()),
-      std::move(reply), out);
+      " next_ms=" +
+      std::to_string(limits_.UntilPermit(now, reply.target_).Ms());
+  AnswerLimitAsk(from, ask, detail, std::move(reply), out);
 }
 
 void RegistryCore::AnswerLimitAsk(const Endpoint& from, const LimitAsk& ask,
--- a/tests/limited_engines_test.cc
+++ b/tests/limited_engines_test.cc
@@ -143,10 +143,10 @@
   const Outcome outcome =
       LimitedEngines(6, 6, 1).Run(10_s, 50_ms, 4960, 300_ms, 1400_ms);
   int64_t placed = 0;
-  for (const auto& [engine, count] : outcome.placed_) {
-    CAPTURE(engine.Value());
-    CHECK(outcome.most_in_window_.at(engine) <= 5);
-    placed += count;
+  for (const auto& item : outcome.placed_) {
+    CAPTURE(item.first.Value());
+    CHECK(outcome.most_in_window_.at(item.first) <= 5);
+    placed += item.second;
   }
   CHECK(placed >= 48);
   CHECK(outcome.refused_ >= outcome.arrived_ - 6 * 11 - 10);
@@ -157,9 +157,9 @@
 TEST_CASE("limited engines: parts of long prompts count as requests") {
   const Outcome outcome =
       LimitedEngines(6, 6, 1).Run(10_s, 500_ms, 154000, 3_s, 3_s);
-  for (const auto& [engine, most] : outcome.most_in_window_) {
-    CAPTURE(engine.Value());
-    CHECK(most <= 5);
+  for (const auto& item : outcome.most_in_window_) {
+    CAPTURE(item.first.Value());
+    CHECK(item.second <= 5);
   }
   CHECK(outcome.placed_.size() == 6);
 }
--- a/tests/platform/gateway_rig.cc
+++ b/tests/platform/gateway_rig.cc
@@ -131,12 +131,12 @@
   AwaitReady();
 }
 
-GatewayRig::GatewayRig(const GatewayRig& member)
+GatewayRig::GatewayRig(const GatewayRig* member)
     : ip_("127.0.0.2"),
-      first_port_(member.first_port_),
+      first_port_(member->first_port_),
       folder_(FolderOf(ip_, first_port_)) {
   // Gateways of a cluster have the same ports at different addresses.
-  Start("control: {bootstrap: true}\ngateway: {seeds: [" + member.At(0) +
+  Start("control: {bootstrap: true}\ngateway: {seeds: [" + member->At(0) +
             "], tolerated_losses: 0}\n",
         platform::Codec());
   AwaitReady();
--- a/tests/platform/gateway_rig.h
+++ b/tests/platform/gateway_rig.h
@@ -22,8 +22,9 @@
   explicit GatewayRig(const std::string& configuration,
                       const WireCodec* codec = nullptr);
   /** Starts a gateway without a disk in the cluster of @p member. */
-  explicit GatewayRig(const GatewayRig& member);
+  explicit GatewayRig(const GatewayRig* member);
   ~GatewayRig();
+  GatewayRig(const GatewayRig&) = delete;
   GatewayRig& operator=(const GatewayRig&) = delete;
 
   /** Registers a target. @param state "ready" or "draining". */
--- a/tests/platform/platform_codec_test.cc
+++ b/tests/platform/platform_codec_test.cc
@@ -299,13 +299,13 @@
   HttpFields answer;
   CHECK(Codec().read_answer_(200, answer).limit_news_ == LimitNews::kNone);
   CHECK(Codec().read_answer_(421, answer).limit_news_ == LimitNews::kNothing);
-  for (const auto& [text, limit] : std::map<std::string, double>{
+  for (const auto& item : std::map<std::string, double>{
            {"1", 1}, {"1.1", 1.1}, {"0", 0}, {"0.05", 0.05}, {"1e9", 1e9}}) {
-    CAPTURE(text);
-    answer.set("Server-Limit", text);
+    CAPTURE(item.first);
+    answer.set("Server-Limit", item.first);
     const AnswerFacts facts = Codec().read_answer_(503, answer);
     CHECK(facts.limit_news_ == LimitNews::kNamed);
-    CHECK(facts.limit_per_second_ == limit);
+    CHECK(facts.limit_per_second_ == item.second);
     CHECK(Codec().read_answer_(421, answer).limit_news_ == LimitNews::kNothing);
   }
   for (const char* text :
--- a/tests/platform/target_limit_test.cc
+++ b/tests/platform/target_limit_test.cc
@@ -80,7 +80,7 @@
 /** Two gateways of one cluster. */
 class TwoGateways {
  public:
-  TwoGateways() : member_(kConfiguration), other_(member_) {}
+  TwoGateways() : member_(kConfiguration), other_(&member_) {}
 
   GatewayRig& Member() { return member_; }
 
--- a/tests/target_limits_test.cc
+++ b/tests/target_limits_test.cc
@@ -165,9 +165,9 @@
     fleet.WantEach();
     fleet.Run(kStep);
   }
-  for (const auto& [name, host] : fleet.Group().hosts_) {
-    CAPTURE(name);
-    CHECK_FALSE(fleet.IsLimited(name));
+  for (const auto& item : fleet.Group().hosts_) {
+    CAPTURE(item.first);
+    CHECK_FALSE(fleet.IsLimited(item.first));
   }
 }
 
