Keep whole requests that crash targets away from targets

Seen by callers of a plain service with three targets: all of them end, and again whenever they are back; look-ups of everybody fail for seconds.

Cause: the quarantine knew shared parts of prompts only, and broken calls led to no check of their target.

Sound identical calls that run beside each crash go on being served.

--- a/src/coordination/gateway/part_quarantine.cc
+++ b/src/coordination/gateway/part_quarantine.cc
@@ -4,6 +4,9 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
+#include <cinttypes>
+#include <cstdio>
 #include <iterator>
 
 namespace gv {
@@ -11,6 +14,12 @@
 
 /** Crashes in a row after which a part is quarantined. */
 constexpr size_t kCrashesToQuarantine = 3;
+/** The same for a whole request, which hardly ever runs beside a crash twice
+ * without being the cause; a plain service may have three targets only. */
+constexpr size_t kCrashesToQuarantineWhole = 2;
+/** Begins the parts that stand for whole requests; no part of a prompt has a
+ * colon. */
+constexpr std::string_view kWholePrefix = "request:";
 /** A crashed engine is back after some seconds, so that reports that are
  * further apart are about different crashes. */
 constexpr Duration kSameCrash = 1_s;
@@ -30,8 +39,29 @@
 constexpr size_t kMostSuspects = 64;
 constexpr size_t kMostRows = 256;
 
+bool IsWhole(const PromptPartId& part) {
+  return part.Value().starts_with(kWholePrefix);
+}
+
 }  // namespace
 
+PromptPartId WholeRequestPart(std::string_view address, std::string_view caller,
+                              std::string_view part_list,
+                              std::string_view body) {
+  XXH3_state_t* state = XXH3_createState();
+  XXH3_64bits_reset(state);
+  for (const std::string_view text : {address, caller, part_list, body}) {
+    const uint64_t size = text.size();
+    XXH3_64bits_update(state, &size, sizeof(size));
+    XXH3_64bits_update(state, text.data(), text.size());
+  }
+  const uint64_t hash = XXH3_64bits_digest(state);
+  XXH3_freeState(state);
+  std::array<char, 17> text{};
+  std::snprintf(text.data(), text.size(), "%016" PRIx64, hash);
+  return PromptPartId(std::string(kWholePrefix) + text.data());
+}
+
 PartQuarantine::Crash& PartQuarantine::FindOrAdd(const EngineCrash& report,
                                                  TimePoint at) {
   for (Crash& crash : crashes_) {
@@ -87,8 +117,11 @@
     ++streak.crashes_;
     streak.last_ = crash.at_;
   }
+  // A whole request needs no other part to be recognised, and what else was
+  // present ran beside it.
   std::erase_if(streak.common_, [&](const PromptPartId& other) {
-    return other != part && answered_.contains(Key(service, other));
+    return other != part &&
+           (IsWhole(part) || answered_.contains(Key(service, other)));
   });
   return streak;
 }
@@ -120,7 +153,9 @@
   for (const Key& key : undecided) {
     const Streak streak = StreakOf(key);
     const bool was_quarantined = rows_.contains(key);
-    if (streak.crashes_ >= (was_quarantined ? 1 : kCrashesToQuarantine) &&
+    const size_t needed =
+        IsWhole(key.second) ? kCrashesToQuarantineWhole : kCrashesToQuarantine;
+    if (streak.crashes_ >= (was_quarantined ? 1 : needed) &&
         Quarantine(now, key, streak)) {
       begun.push_back(key);
     }
--- a/src/coordination/gateway/part_quarantine.h
+++ b/src/coordination/gateway/part_quarantine.h
@@ -1,5 +1,5 @@
-/** @file part_quarantine.h Finds the parts of prompts that crash engines, and
- * keeps prompts with them away from engines. */
+/** @file part_quarantine.h Finds the requests, or the parts of prompts, that
+ * crash targets, and keeps them away from targets. */
 #pragma once
 
 #include <deque>
@@ -17,20 +17,31 @@
 namespace gv {
 
 /**
- * Fault pattern: one part that several prompts share crashes each engine that
- * begins to answer it. What runs beside such a prompt breaks too, and its other
- * parts are shared with sound prompts. So a part is quarantined only after
- * several crashes in a row that no answer interrupts, each by a prompt that was
- * sent after the crash before; engines that are lost together count once. Parts
- * that were present in each of these crashes are suspected together: only
- * prompts with all of them are kept away until an answer or a crash tells them
- * apart. A quarantine ends with an answer, and is tried again after a while by
- * one prompt. All gateways hear of crashes and answers, and compare their
- * quarantines. Thread safety: owned by one thread.
+ * @return A part that stands for a whole request. Requests that are the same in
+ * @p address, @p caller, @p part_list and @p body have the same one. Thread
+ * safety: pure.
+ */
+PromptPartId WholeRequestPart(std::string_view address, std::string_view caller,
+                              std::string_view part_list,
+                              std::string_view body);
+
+/**
+ * Fault patterns: a request crashes each target that begins to run it, and is
+ * sent again and again; one part that several prompts share crashes each engine
+ * that begins to answer it. A whole request counts as one more of its parts, so
+ * both are found in the same way. What runs beside such a prompt breaks too,
+ * and its other parts are shared with sound prompts. So a part is quarantined
+ * only after several crashes in a row that no answer interrupts, each by a
+ * prompt that was sent after the crash before; engines that are lost together
+ * count once. Parts that were present in each of these crashes are suspected
+ * together: only prompts with all of them are kept away until an answer or a
+ * crash tells them apart. A quarantine ends with an answer, and is tried again
+ * after a while by one prompt. All gateways hear of crashes and answers, and
+ * compare their quarantines. Thread safety: owned by one thread.
  */
 class PartQuarantine {
  public:
-  /** A part of prompts to one service. */
+  /** A part of prompts to one service, or a whole request to it. */
   using Key = std::pair<std::string, PromptPartId>;
 
   /** Takes in a crash that this or another gateway has seen. */
--- a/src/transport/gateway/forward.cc
+++ b/src/transport/gateway/forward.cc
@@ -34,6 +34,7 @@
       caller_(std::move(caller)),
       request_(std::move(request)),
       facts_(gateway_.Codec().read_caller_(request_.base())),
+      parts_(Parts()),
       arrived_(gateway_.Now()),
       events_(facts_.last_event_) {}
 
@@ -139,8 +140,8 @@
   gateway_.Retries(service_.name_).OnRequest(now);
   Log(EventId::kForwardAdmitted,
       "prompt=" + std::to_string(facts_.prompt_tokens_) +
-          " deadline_ms=" + std::to_string(deadline.Ms()) +
-          " config=" + std::to_string(config_version_));
+          " deadline_ms=" + std::to_string(deadline.Ms()) + " config=" +
+          std::to_string(config_version_) + " " + parts_.back().Value());
   return true;
 }
 
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -20,8 +20,9 @@
 
 class Gateway;
 
-/** Reason for refusing a prompt with a part that crashes engines. */
-inline constexpr const char* kQuarantined = "part-crashes-engines";
+/** Reason for refusing a prompt with a part that crashes engines, or a request
+ * that crashes targets. */
+inline constexpr const char* kQuarantined = "request-crashes-targets";
 /** Reason for refusing what only targets with a limit could take. */
 inline constexpr const char* kTargetLimit = "target-limit";
 
@@ -129,10 +130,11 @@
   Duration RetryAfterOf(const std::string& reason) const;
   void FinishWithoutRetry(const AttemptEnd& end, const std::string& reason);
 
-  // forward_parts.cc: parts of prompts that crash engines.
+  // forward_parts.cc: requests and parts of prompts that crash targets.
+  std::vector<PromptPartId> Parts() const;
   bool IsQuarantined() const;
   bool RefuseQuarantined();
-  void ReportIfWithoutEvent();
+  void ReportIfUnanswered();
 
   // forward_retry.cc: permits for retries.
   void RetryOrFinish(const AttemptEnd& end, const std::string& reason);
@@ -180,7 +182,9 @@
   Gateway& gateway_;  ///< Gateway that received the request.
   std::shared_ptr<GatewayCaller> caller_;  ///< Connection that gets the answer.
   CallerRequestMessage request_;           ///< Request as received.
-  CallerFacts facts_;     ///< Facts from the header of the request.
+  CallerFacts facts_;  ///< Facts from the header of the request.
+  /** Shared parts of the prompt, and the one that stands for the request. */
+  std::vector<PromptPartId> parts_;
   Route route_;           ///< Route at the time of admission.
   Service service_;       ///< Service at the time of admission.
   std::string customer_;  ///< Name of the customer; empty if anonymous.
--- a/src/transport/gateway/forward_answer.cc
+++ b/src/transport/gateway/forward_answer.cc
@@ -58,7 +58,7 @@
       BeginAnswer();
     }
     if (!std::exchange(attempt_->has_event_, true)) {
-      gateway_.OnAnswerBegun(service_.name_, facts_.shared_parts_);
+      gateway_.OnAnswerBegun(service_.name_, parts_);
     }
     const TimePoint now = gateway_.Now();
     if (last_event_time_ != TimePoint()) {
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -139,8 +139,7 @@
                               run_once ? kMaxIdleRunOnce : kMaxIdleRepeatable);
   attempt.target_ = placement.target_;
   attempt.sent_at_ = now;
-  attempt.is_trial_ =
-      gateway_.Parts().OnSent(now, service_.name_, facts_.shared_parts_);
+  attempt.is_trial_ = gateway_.Parts().OnSent(now, service_.name_, parts_);
   attempt.last_progress_ = now;
   attempt.predicted_ms_ = placement.wait_ms_;
   attempt_ = std::move(attempt);
@@ -326,7 +325,7 @@
     return;
   }
   if (end != ExchangeEnd::kComplete) {
-    ReportIfWithoutEvent();
+    ReportIfUnanswered();
     const bool reused = attempt_->connection_->IsReused();
     OnAttemptFailed(AttemptEnd{RunState::kMayHaveRun, false},
                     reused ? HealthOutcome::kFull : HealthOutcome::kUnreachable,
@@ -353,6 +352,9 @@
                     "refused-" + std::to_string(status));
     return;
   }
+  if (!attempt_->is_streamed_ && facts.has_signature_) {
+    gateway_.OnAnswerBegun(service_.name_, parts_);
+  }
   if (answer_begun_ && !attempt_->is_streamed_) {
     // The caller has a part of the stream already, so this answer cannot be
     // passed on.
@@ -368,7 +370,7 @@
     return;
   }
   if (attempt_->is_streamed_ && !IsStreamComplete()) {
-    ReportIfWithoutEvent();
+    ReportIfUnanswered();
     OnAttemptFailed(AttemptEnd{RunState::kMayHaveRun, false},
                     HealthOutcome::kError, "incomplete-stream");
     return;
--- a/src/transport/gateway/forward_parts.cc
+++ b/src/transport/gateway/forward_parts.cc
@@ -1,5 +1,5 @@
-/** @file forward_parts.cc Keeps prompts with parts that crash engines away from
- * engines. */
+/** @file forward_parts.cc Keeps requests, and prompts with parts, that crash
+ * targets away from them. */
 #include "transport/gateway/forward.h"
 #include "transport/gateway/gateway.h"
 
@@ -10,15 +10,28 @@
 
 }  // namespace
 
+std::vector<PromptPartId> Forward::Parts() const {
+  std::vector<PromptPartId> parts = facts_.shared_parts_;
+  const auto host = request_[boost::beast::http::field::host];
+  const auto method = request_.method_string();
+  const auto path = request_.target();
+  std::string address(method.data(), method.size());
+  address.append(" ").append(host.data(), host.size());
+  address.append(path.data(), path.size());
+  parts.push_back(WholeRequestPart(address, facts_.key_, facts_.part_list_,
+                                   request_.body()));
+  return parts;
+}
+
 bool Forward::IsQuarantined() const {
   return gateway_.Parts()
-      .UntilTrial(gateway_.Now(), service_.name_, facts_.shared_parts_)
+      .UntilTrial(gateway_.Now(), service_.name_, parts_)
       .has_value();
 }
 
 bool Forward::RefuseQuarantined() {
-  const auto wait = gateway_.Parts().UntilTrial(gateway_.Now(), service_.name_,
-                                                facts_.shared_parts_);
+  const auto wait =
+      gateway_.Parts().UntilTrial(gateway_.Now(), service_.name_, parts_);
   if (!wait) {
     return false;
   }
@@ -30,11 +43,11 @@
   return true;
 }
 
-void Forward::ReportIfWithoutEvent() {
-  if (IsPrompt() && !attempt_->has_event_) {
-    gateway_.OnPromptBroken(attempt_->target_, attempt_->connection_->Address(),
-                            service_.name_, facts_.shared_parts_,
-                            attempt_->sent_at_);
+void Forward::ReportIfUnanswered() {
+  if (!attempt_->has_event_) {
+    gateway_.OnAttemptBroken(attempt_->target_,
+                             attempt_->connection_->Address(), service_.name_,
+                             parts_, attempt_->sent_at_);
   }
 }
 
--- a/src/transport/gateway/forward_retry.cc
+++ b/src/transport/gateway/forward_retry.cc
@@ -128,7 +128,7 @@
 std::string Forward::RetryDetail() const {
   const TimePoint now = gateway_.Now();
   std::string parts;
-  for (const PromptPartId& part : facts_.shared_parts_) {
+  for (const PromptPartId& part : parts_) {
     parts += (parts.empty() ? " parts=" : ",") + part.Value();
   }
   return "reason=" + failed_->reason_ + " sent=" + std::to_string(sent_) +
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -80,16 +80,17 @@
   bool AcceptsRequests() const;
   /** Takes in what an attempt says of a target's health. */
   void OnOutcome(const TargetId& target, HealthOutcome outcome);
-  /** An attempt of a prompt has ended without an event, as its connection
-   * broke. Finds out whether the engine crashed. @param sent When it was sent.
-   */
-  void OnPromptBroken(const TargetId& target, const std::string& address,
-                      const std::string& service,
-                      const std::vector<PromptPartId>& parts, TimePoint sent);
-  /** An engine has begun to answer a prompt with @p parts. */
+  /** An attempt has ended without an answer or an event, as its connection
+   * broke. Finds out whether the target crashed.
+   * @param parts What the request holds; not empty.
+   * @param sent When it was sent. */
+  void OnAttemptBroken(const TargetId& target, const std::string& address,
+                       const std::string& service,
+                       const std::vector<PromptPartId>& parts, TimePoint sent);
+  /** A target has begun to answer a request with @p parts. */
   void OnAnswerBegun(const std::string& service,
                      const std::vector<PromptPartId>& parts);
-  /** @return Parts of prompts that crash engines. */
+  /** @return Requests and parts of prompts that crash targets. */
   PartQuarantine& Parts() { return registry_.Parts(); }
   /** Takes in what an answer says of its target beside the answer. */
   void OnAnswerFacts(const TargetId& target, const AnswerFacts& facts);
@@ -191,11 +192,11 @@
     TimePoint until_;                              ///< When it is given up.
     std::function<void(const LimitReply&)> done_;  ///< Gets the answer.
   };
-  /** A connection attempt that tells whether an engine has crashed. */
+  /** A connection attempt that tells whether a target has crashed. */
   struct CrashProbe {
     std::shared_ptr<boost::asio::ip::tcp::socket> socket_;
-    TimePoint broken_;   ///< When the first prompt broke.
-    EngineCrash crash_;  ///< Told to all if the engine takes no connection.
+    TimePoint broken_;   ///< When the first attempt broke.
+    EngineCrash crash_;  ///< Told to all if the target takes no connection.
   };
   /** A reservation that may still stand. */
   struct OpenRelease {
--- a/src/transport/gateway/gateway_parts.cc
+++ b/src/transport/gateway/gateway_parts.cc
@@ -1,5 +1,5 @@
-/** @file gateway_parts.cc Tells crashed engines from broken connections, for
- * the quarantine of parts of prompts. */
+/** @file gateway_parts.cc Tells crashed targets from broken connections, for
+ * the quarantine of requests and parts of prompts. */
 #include "transport/gateway/gateway.h"
 
 namespace gv {
@@ -7,20 +7,18 @@
 
 namespace asio = boost::asio;
 
-/** The host of a crashed engine refuses at once; without an answer in this time
- * nothing is known of the engine. */
+/** The host of a crashed target refuses at once; without an answer in this time
+ * nothing is known of the target. */
 constexpr Duration kProbeTimeout = 450_ms;
 
 }  // namespace
 
-void Gateway::OnPromptBroken(const TargetId& target, const std::string& address,
-                             const std::string& service,
-                             const std::vector<PromptPartId>& parts,
-                             TimePoint sent) {
+void Gateway::OnAttemptBroken(const TargetId& target,
+                              const std::string& address,
+                              const std::string& service,
+                              const std::vector<PromptPartId>& parts,
+                              TimePoint sent) {
   const TimePoint now = Now();
-  if (parts.empty()) {
-    return;
-  }
   const auto found = crash_probes_.find(target);
   if (found != crash_probes_.end()) {
     found->second.crash_.prompts_.push_back(CrashedPrompt{parts, now - sent});
--- a/tests/part_quarantine_test.cc
+++ b/tests/part_quarantine_test.cc
@@ -90,6 +90,62 @@
   CHECK(gateway.MaySend("abcd"));
 }
 
+/** @return The part of a whole request with @p body. */
+PromptPartId Whole(const std::string& body) {
+  return WholeRequestPart("GET a.example/look", "k1", "", body);
+}
+
+/** A crash of a target with calls that ran there, by their bodies. */
+EngineCrash CallCrashOf(int target, const std::vector<std::string>& bodies) {
+  EngineCrash crash = CrashOf(target, {});
+  for (const std::string& body : bodies) {
+    crash.prompts_.push_back(CrashedPrompt{{Whole(body)}, 50_ms});
+  }
+  return crash;
+}
+
+TEST_CASE("part quarantine: two crashes in a row keep a whole request away") {
+  Gateway gateway;
+  const auto may_send = [&gateway](const std::string& body) {
+    return !gateway.parts_.UntilTrial(gateway.now_, kService, {Whole(body)});
+  };
+  gateway.parts_.OnCrash(gateway.now_, CallCrashOf(1, {"bad", "x"}));
+  gateway.Run(kSettle);
+  CHECK(may_send("bad"));
+  gateway.parts_.OnCrash(gateway.now_, CallCrashOf(2, {"y", "bad"}));
+  gateway.Run(kSettle);
+  CHECK_FALSE(may_send("bad"));
+  // Calls of the same caller on the same path go on.
+  CHECK(may_send("x"));
+  CHECK(may_send("y"));
+  CHECK(may_send("z"));
+  gateway.parts_.OnAnswer(gateway.now_, kService, {Whole("bad")});
+  CHECK(may_send("bad"));
+}
+
+TEST_CASE("part quarantine: what runs beside each crash hides no request") {
+  Gateway gateway;
+  for (int i = 0; i < 3; ++i) {
+    gateway.parts_.OnCrash(gateway.now_, CallCrashOf(i, {"bad", "popular"}));
+    gateway.Run(kSettle);
+    gateway.parts_.OnAnswer(gateway.now_, kService, {Whole("popular")});
+    gateway.Run(kSettle);
+  }
+  CHECK(gateway.parts_.UntilTrial(gateway.now_, kService, {Whole("bad")}));
+  CHECK_FALSE(
+      gateway.parts_.UntilTrial(gateway.now_, kService, {Whole("popular")}));
+}
+
+TEST_CASE("part quarantine: a whole request is told by all that it holds") {
+  const PromptPartId part = WholeRequestPart("a", "k", "p:1", "b");
+  CHECK(part == WholeRequestPart("a", "k", "p:1", "b"));
+  CHECK(part != WholeRequestPart("a2", "k", "p:1", "b"));
+  CHECK(part != WholeRequestPart("a", "k2", "p:1", "b"));
+  CHECK(part != WholeRequestPart("a", "k", "p:2", "b"));
+  CHECK(part != WholeRequestPart("a", "k", "p:1", "b2"));
+  CHECK(part != WholeRequestPart("ak", "", "p:1", "b"));
+}
+
 TEST_CASE("part quarantine: engines that are lost together count once") {
   Gateway gateway;
   for (int i = 0; i < 8; ++i) {
