Take on what a planned stop has time for, whatever the grace time

Report of other operators: requests taken late in the grace time were cut at its end.

Change: new requests are taken on for half of the usable grace time at most; a call that may run only once is refused, as not run, unless its whole time fits; before the exit, what has no answer yet gets a final one.

--- a/src/transport/gateway/forward.cc
+++ b/src/transport/gateway/forward.cc
@@ -13,6 +13,7 @@
 
 constexpr unsigned kUnauthorized = 401;
 constexpr unsigned kNotFound = 404;
+constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
 /** Time before the caller's deadline at which a request ends. It covers the
  * network latency to the caller, one tick and scheduling delay on a busy
@@ -137,6 +138,12 @@
   caller_deadline_ = arrived_ + std::min(deadline, route_.timeout_);
   answer_deadline_ =
       arrived_ + std::min(deadline - kAnswerMargin, route_.timeout_);
+  if (!IsRepeatable(route_.kind_, route_.resumable_) &&
+      caller_deadline_ > gateway_.StopsAt()) {
+    // It might be cut at the end of the stop, and no gateway could repeat it.
+    Refuse(kUnavailable, "stopping", kOtherGatewayRetry);
+    return false;
+  }
   gateway_.Retries(service_.name_).OnRequest(now);
   Log(EventId::kForwardAdmitted,
       "prompt=" + std::to_string(facts_.prompt_tokens_) +
@@ -251,6 +258,19 @@
   End();
 }
 
+void Forward::OnGatewayEnds() {
+  if (ended_ || answer_begun_) {
+    return;
+  }
+  if (target_failure_) {
+    PassTargetFailure();
+  } else if (may_have_run_ > 0) {
+    FailWith(kBadGateway, "stopping");
+  } else {
+    Refuse(kUnavailable, "stopping", kOtherGatewayRetry);
+  }
+}
+
 void Forward::OnTick(TimePoint now) {
   if (ended_) {
     return;
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -44,6 +44,9 @@
   void OnTick(TimePoint now);
   /** Ends the request after the caller has disconnected. */
   void OnCallerGone();
+  /** Gives the caller a final answer, as the process ends; a stream that has
+   * begun goes on until then. */
+  void OnGatewayEnds();
   bool IsEnded() const { return ended_; }
 
  private:
--- a/src/transport/gateway/gateway.cc
+++ b/src/transport/gateway/gateway.cc
@@ -27,8 +27,12 @@
 /** New requests are taken on for this time of a planned stop; by then the
  * balancer has noticed it, and what was taken still ends within the grace. */
 constexpr Duration kTakeOn = 2800_ms;
+/** The same as a part of the grace time, if that is short. */
+constexpr int64_t kTakeOnDivisor = 2;
 /** Kept of the grace time for the exit itself. */
 constexpr Duration kStopMargin = 600_ms;
+/** Before the exit, what is left gets a final answer and time to be sent. */
+constexpr Duration kFinalAnswers = 150_ms;
 constexpr int kExitStartFailed = 1;
 
 RegistrySettings MakeRegistrySettings(const ProcessSettings& settings) {
@@ -287,7 +291,25 @@
 }
 
 bool Gateway::AcceptsRequests() const {
-  return !stopping_ || Now() - stop_begun_ < kTakeOn;
+  return !stopping_ ||
+         Now() - stop_begun_ <
+             std::min(kTakeOn, (StopsAt() - stop_begun_) / kTakeOnDivisor);
+}
+
+TimePoint Gateway::StopsAt() const {
+  return stopping_
+             ? stop_begun_ + Duration(settings_.gateway_grace_ms_) - kStopMargin
+             : TimePoint::Never();
+}
+
+void Gateway::EndRequests() {
+  std::vector<std::shared_ptr<Forward>> forwards;
+  for (const auto& [key, forward] : forwards_) {
+    forwards.push_back(forward);
+  }
+  for (const auto& forward : forwards) {
+    forward->OnGatewayEnds();
+  }
 }
 
 bool Gateway::HasOpenAnswers() const {
@@ -302,9 +324,11 @@
     return;
   }
   const Duration spent = now - stop_begun_;
-  const Duration grace(settings_.gateway_grace_ms_);
   const bool quiet = spent > kAnnounce && !HasOpenAnswers();
-  if (quiet || spent > grace - kStopMargin) {
+  if (now > StopsAt() - kFinalAnswers) {
+    EndRequests();
+  }
+  if (quiet || now > StopsAt()) {
     Record(EventId::kProcessStopped,
            "requests=" + std::to_string(forwards_.size()) +
                " after_ms=" + std::to_string(spent.Ms()));
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -78,6 +78,8 @@
   }
   /** @return False once a planned stop leaves no time for new requests. */
   bool AcceptsRequests() const;
+  /** @return When a planned stop ends what is left; Never without one. */
+  TimePoint StopsAt() const;
   /** Takes in what an attempt says of a target's health. */
   void OnOutcome(const TargetId& target, HealthOutcome outcome);
   /** An attempt has ended without an answer or an event, as its connection
@@ -218,6 +220,7 @@
   void WaitForSignals();
   void BeginStop();
   void CheckStop(TimePoint now);
+  void EndRequests();
   bool HasOpenAnswers() const;
   bool IsReady() const;
   void NoteDependencies(TimePoint now);
--- a/tests/platform/gateway_rig.cc
+++ b/tests/platform/gateway_rig.cc
@@ -115,12 +115,14 @@
   }
 }
 
-GatewayRig::GatewayRig(const std::string& configuration, const WireCodec* codec)
+GatewayRig::GatewayRig(const std::string& configuration, const WireCodec* codec,
+                       const std::string& more)
     : ip_("127.0.0.1"),
       first_port_(FindPorts()),
       folder_(FolderOf(ip_, first_port_)) {
   Start("control: {bootstrap: true, data_folder: " + folder_.string() +
-            "/data}\ngateway: {seeds: [" + At(0) + "], tolerated_losses: 0}\n",
+            "/data}\ngateway: {seeds: [" + At(0) + "], tolerated_losses: 0" +
+            more + "}\n",
         codec != nullptr ? *codec : platform::Codec());
   const TimePoint end = SteadyNow() + kPatience;
   while (Control("PUT", "/v1/configuration", configuration)
--- a/tests/platform/gateway_rig.h
+++ b/tests/platform/gateway_rig.h
@@ -18,9 +18,12 @@
 class GatewayRig {
  public:
   /** Starts the gateway and installs @p configuration. @param codec Outlives
-   * the rig; that of the platform if it is null. */
+   * the rig; that of the platform if it is null.
+   * @param more Further settings of the section "gateway", each after a comma.
+   */
   explicit GatewayRig(const std::string& configuration,
-                      const WireCodec* codec = nullptr);
+                      const WireCodec* codec = nullptr,
+                      const std::string& more = "");
   /** Starts a gateway without a disk in the cluster of @p member. */
   explicit GatewayRig(const GatewayRig* member);
   ~GatewayRig();
