Soak: targets that name limits, counted for each gateway

The first target of each service names 0.5 to 4 requests a second for four to ten seconds; arrivals are counted by the gateway that the attempt's id names, and gateways that were disturbed have to be told again.

--- a/tests/platform/scripted_target.cc
+++ b/tests/platform/scripted_target.cc
@@ -37,12 +37,13 @@
   return !error;
 }
 
-void TargetLine::BeginEvents(const TargetRequest& request) {
+void TargetLine::BeginEvents(const TargetRequest& request,
+                             const std::string& more) {
   Send(
       "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
       "Gooseberryvale-Attempt-Id: " +
       request.Header("Gooseberryvale-Attempt-Id") +
-      "\r\nGooseberryvale-Response-Signature: s\r\n"
+      "\r\nGooseberryvale-Response-Signature: s\r\n" + more +
       "Transfer-Encoding: chunked\r\n\r\n");
 }
 
--- a/tests/platform/scripted_target.h
+++ b/tests/platform/scripted_target.h
@@ -29,8 +29,8 @@
   explicit TargetLine(boost::asio::ip::tcp::socket& socket) : socket_(socket) {}
   /** Sends bytes as they are. @return False if the peer has closed. */
   bool Send(const std::string& bytes);
-  /** Begins an event stream without a length. */
-  void BeginEvents(const TargetRequest& request);
+  /** Begins an event stream without a length. @param more Further headers. */
+  void BeginEvents(const TargetRequest& request, const std::string& more = "");
   /** Sends one event with an id. @param data Its line, or "e" and the id. */
   void SendEvent(int id, const std::string& data = "");
   /** @return True if the peer closes within the time. */
--- a/tests/soak/soak_clients.cc
+++ b/tests/soak/soak_clients.cc
@@ -111,9 +111,13 @@
   constexpr std::array<const char*, kKinds> kPaths{"pay", "look", "read"};
   const size_t kind = random_() % kKinds;
   const bool is_stream = kind == 2;
+  if (!connection_ || !connection_->IsOpen()) {
+    connection_ = std::make_unique<SoakConnection>(view_.pick_port_());
+  }
+  const uint16_t port = connection_->Port();
   std::ostringstream id;
-  id << std::hex << random_();
-  // The first letter tells targets the kind.
+  id << std::hex << random_() << "-" << std::dec << port;
+  // The first letter tells targets the kind, the end the gateway.
   const std::string attempt = kPaths[kind][0] + id.str();
   const milliseconds timeout = is_stream ? kStreamTimeout : kCallTimeout;
   const std::string request =
@@ -124,10 +128,6 @@
       "\r\nX-Api-Key: k1" + (keeps_ ? "" : "\r\nConnection: close") +
       "\r\nContent-Length: 2\r\n\r\nhi";
   ledger_.OnRequest(is_stream ? "model" : "shop");
-  if (!connection_ || !connection_->IsOpen()) {
-    connection_ = std::make_unique<SoakConnection>(view_.pick_port_());
-  }
-  const uint16_t port = connection_->Port();
   const TimePoint start = SteadyNow();
   const SoakAnswer answer = connection_->Ask(request, timeout + kMargin * 2);
   const Duration took = SteadyNow() - start;
--- a/tests/soak/soak_ledger.cc
+++ b/tests/soak/soak_ledger.cc
@@ -10,7 +10,7 @@
 namespace gv {
 namespace {
 
-constexpr std::array<EnumName<Promise>, 11> kPromiseNames{{
+constexpr std::array<EnumName<Promise>, 12> kPromiseNames{{
     {Promise::kOwnWholeAnswer, "own-whole-answer"},
     {Promise::kNotRunIsTrue, "not-run-is-true"},
     {Promise::kOnceAtMost, "once-at-most"},
@@ -22,6 +22,7 @@
     {Promise::kStopCutsNothing, "stop-cuts-nothing"},
     {Promise::kRetryBudget, "retry-budget"},
     {Promise::kNoOwnEnd, "no-own-end"},
+    {Promise::kTargetLimit, "target-limit"},
 }};
 
 /** The defaults of the gateways' settings. */
@@ -49,6 +50,42 @@
   }
 }
 
+void SoakLedger::OnLimited(const std::string& target,
+                           const std::string& gateway,
+                           std::optional<double> limit) {
+  const std::scoped_lock lock(mutex_);
+  LimitRule& rule = limits_[target];
+  const TimePoint now = SteadyNow();
+  rule.OnNamed(now, limit);
+  rule.OnArrival(now, gateway);
+  if (limit) {
+    rule.OnTold(now, gateway);
+  }
+}
+
+void SoakLedger::OnDisturbed(const std::string& gateway) {
+  const std::scoped_lock lock(mutex_);
+  for (auto& [target, rule] : limits_) {
+    rule.OnKilled(gateway);
+  }
+}
+
+void SoakLedger::CheckLimits() {
+  std::vector<std::string> lines;
+  {
+    const std::scoped_lock lock(mutex_);
+    for (const auto& [target, rule] : limits_) {
+      if (rule.WorstExcess() > 0) {
+        lines.push_back(target + " got " + std::to_string(rule.WorstExcess()) +
+                        " requests beyond its limit");
+      }
+    }
+  }
+  for (const std::string& line : lines) {
+    Break(Promise::kTargetLimit, line);
+  }
+}
+
 void SoakLedger::OnAnswered(const std::string& attempt) {
   const std::scoped_lock lock(mutex_);
   answered_.insert(attempt);
--- a/tests/soak/soak_ledger.h
+++ b/tests/soak/soak_ledger.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "state/clock_type.h"
+#include "support/limit_rule.h"
 #include "support/retry_rule.h"
 
 namespace gv {
@@ -26,6 +27,7 @@
   kStopCutsNothing,  ///< A planned stop cuts no request that was passed on.
   kRetryBudget,      ///< Targets get no more retries than the limit allows.
   kNoOwnEnd,         ///< No process ends by itself.
+  kTargetLimit,      ///< Targets get no more requests than the limit they name.
 };
 
 /** Records of one soak. Thread safety: any thread. */
@@ -35,6 +37,16 @@
   void OnRequest(const std::string& service);
   /** A request arrived at a target of a service. */
   void OnArrival(const std::string& service, const std::string& attempt);
+  /**
+   * A request of @p gateway arrived at @p target, which answers now.
+   * @param limit What it names in its answer, or nothing.
+   */
+  void OnLimited(const std::string& target, const std::string& gateway,
+                 std::optional<double> limit);
+  /** A gateway was disturbed; it has to be told of limits again. */
+  void OnDisturbed(const std::string& gateway);
+  /** Checks the limits of targets over the whole run. */
+  void CheckLimits();
   /** A target has sent the end of its answer. */
   void OnAnswered(const std::string& attempt);
   /** @return True if a target has sent its whole answer. */
@@ -67,6 +79,7 @@
   std::set<std::string> arrived_;        ///< Attempts that reached a target.
   std::set<std::string> answered_;       ///< Attempts with a whole answer.
   std::map<std::string, RetryRule> retries_;  ///< By service.
+  std::map<std::string, LimitRule> limits_;   ///< By target.
   std::vector<std::string> broken_;
   uint64_t accepted_ = 0;
   int64_t served_ = 0;
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -130,6 +130,7 @@
     CheckRecovery(world, ledger, changer);
   }
   ledger.CheckRetries();
+  ledger.CheckLimits();
   for (const std::string& line : ledger.Broken()) {
     std::cout << "BROKEN " << line << "\n";
   }
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -82,8 +82,8 @@
   target.id_ = "i-" + service + std::to_string(index);
   target.service_ = service;
   target.target_ = std::make_unique<ScriptedTarget>(
-      [this](const TargetRequest& request, TargetLine& line) {
-        Serve(request, line);
+      [this, id = target.id_](const TargetRequest& request, TargetLine& line) {
+        Serve(id, request, line);
       });
   const std::string address = target.target_->Address();
   const auto port =
@@ -93,11 +93,18 @@
   targets_.push_back(std::move(target));
 }
 
-void SoakWorld::Serve(const TargetRequest& request, TargetLine& line) {
+void SoakWorld::Serve(const std::string& id, const TargetRequest& request,
+                      TargetLine& line) {
   const std::string attempt = request.Header("Gooseberryvale-Attempt-Id");
   ledger_.OnArrival(attempt[0] == 'r' ? "model" : "shop", attempt);
+  const double limit = id.back() == '0' ? limit_.load() : 0;
+  ledger_.OnLimited(id, attempt.substr(attempt.find('-') + 1),
+                    limit > 0 ? std::optional<double>(limit) : std::nullopt);
+  const std::string named =
+      limit > 0 ? "Server-Limit: " + std::to_string(limit) + "\r\n" : "";
   const std::string head =
-      "HTTP/1.1 200 OK\r\nGooseberryvale-Attempt-Id: " + attempt + "\r\n";
+      "HTTP/1.1 200 OK\r\nGooseberryvale-Attempt-Id: " + attempt + "\r\n" +
+      named;
   // Some fail, by the attempt, so that a seed fails the same ones.
   const uint64_t luck =
       std::hash<std::string>()(attempt + std::to_string(seed_)) % kPercent;
@@ -109,7 +116,7 @@
     line.Send(
         "HTTP/1.1 503 Full\r\nGooseberryvale-Not-Executed: true\r\n"
         "Gooseberryvale-Attempt-Id: " +
-        attempt + "\r\nContent-Length: 0\r\n\r\n");
+        attempt + "\r\n" + named + "Content-Length: 0\r\n\r\n");
     return;
   }
   ledger_.OnRun(attempt, attempt[0] == 'p');
@@ -131,12 +138,13 @@
   }
   constexpr int kEvents = 6;
   const std::string last = request.Header("Last-Event-Id");
-  line.BeginEvents(request);
-  for (int id = last.empty() ? 1 : std::stoi(last) + 1; id <= kEvents; ++id) {
+  line.BeginEvents(request, named);
+  for (int event = last.empty() ? 1 : std::stoi(last) + 1; event <= kEvents;
+       ++event) {
     std::this_thread::sleep_for(milliseconds(30));
-    line.SendEvent(id, attempt);
+    line.SendEvent(event, attempt);
     constexpr uint64_t kBreak = 14;
-    if (luck < kBreak && last.empty() && id == 3) {
+    if (luck < kBreak && last.empty() && event == 3) {
       line.Reset();
       return;
     }
@@ -234,6 +242,7 @@
 }
 
 void SoakWorld::Touch(Member& member, Duration time, bool is_planned) {
+  ledger_.OnDisturbed(std::to_string(member.callers_->Port()));
   const std::scoped_lock lock(mutex_);
   const TimePoint until = SteadyNow() + time + kAfterFault;
   member.disturbed_ = std::max(member.disturbed_, until);
@@ -266,6 +275,9 @@
   if (now >= refusing_until_) {
     refusing_ = false;
   }
+  if (now >= limit_until_) {
+    limit_ = 0;
+  }
   const bool is_calm = std::none_of(
       members_.begin(), members_.end(), [now](const Member& member) {
         return member.process_->HasDisk() && member.disturbed_ >= now;
@@ -348,6 +360,15 @@
   return "targets refuse most requests " + std::to_string(time.Ms());
 }
 
+std::string SoakWorld::NameLimit() {
+  constexpr std::array<double, 4> kLimits{0.5, 1, 1.5, 4};
+  limit_ = kLimits[random_() % kLimits.size()];
+  const Duration time(4000 + static_cast<int64_t>(random_() % 6000));
+  limit_until_ = SteadyNow() + time;
+  return "targets name a limit of " + std::to_string(limit_.load()) + " for " +
+         std::to_string(time.Ms());
+}
+
 std::string SoakWorld::DisturbLink() {
   constexpr std::array<LinkFault, 3> kFaults{
       LinkFault::kDelay, LinkFault::kSilent, LinkFault::kOneWay};
@@ -377,6 +398,8 @@
     case 2:
       RegisterOddEntry();
       return "odd entry";
+    case 3:
+      return NameLimit();
     default:
       return random_() % 2 == 0 ? DisturbLink() : DisturbProcess(AnyMember());
   }
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -73,7 +73,8 @@
   };
 
   void AddTarget(const std::string& service, int index);
-  void Serve(const TargetRequest& request, TargetLine& line);
+  void Serve(const std::string& id, const TargetRequest& request,
+             TargetLine& line);
   void Register();
   void RegisterOddEntry();
   void Restart();
@@ -84,6 +85,7 @@
   std::string DisturbProcess(Member& member);
   std::string SignalInSeries(Member& member);
   std::string DisturbTargets();
+  std::string NameLimit();
   std::string DisturbLink();
   std::string DisturbOnce();
 
@@ -96,6 +98,9 @@
   std::vector<Target> targets_;
   std::atomic<bool> refusing_ = false;  ///< Targets refuse most requests.
   TimePoint refusing_until_;
+  /** Limit that the first target of each service names; zero for none. */
+  std::atomic<double> limit_ = 0;
+  TimePoint limit_until_;
   TimePoint targets_disturbed_;  ///< Until then, at least.
   mutable std::mutex mutex_;     ///< Guards these times and port_random_.
   std::mt19937_64 port_random_;
