--- a/tests/support/registry_group.cc
+++ b/tests/support/registry_group.cc
@@ -6,6 +6,8 @@
 
 constexpr Duration kTick{50};
 constexpr Duration kSync{2};
+/** From a refused write until the disk is opened again. */
+constexpr Duration kReopen = 700_ms;
 
 }  // namespace
 
@@ -55,16 +57,21 @@
   settings.retries_ = retries_;
   host.core_ = std::make_unique<RegistryCore>(settings);
   host.next_tick_ = now_;
-  if (!host.has_disk_) {
-    return;
+  host.reopen_at_ = TimePoint::Never();
+  if (host.has_disk_) {
+    OpenDisk(host);
   }
+}
+
+void RegistryGroup::OpenDisk(RegistryHost& host) {
   ReplicaSettings replica;
   replica.self_ = host.node_;
   if (host.disk_.Load().entries_.empty() &&
       host.disk_.Load().snapshot_index_.IsNone()) {
     replica.initial_members_ = seeds_;
   }
-  replica.seed_ = settings.seed_;
+  replica.seed_ = std::hash<std::string>()(host.node_.Value() +
+                                           std::to_string(host.starts_));
   replica.heartbeat_ = Duration(100);
   replica.lease_ = Duration(450);
   replica.election_min_ = Duration(600);
@@ -72,6 +79,17 @@
   host.core_->AttachReplica(ReplicaCore(replica, host.disk_.Load()));
 }
 
+void RegistryGroup::RefuseWrite(RegistryHost& host) {
+  host.disk_.Crash();
+  host.sync_at_ = TimePoint::Never();
+  host.reopen_at_ = now_ + kReopen;
+  Step(host, Envelope{{host.node_, Port::kDisk},
+                      {host.node_, Port::kControl},
+                      {},
+                      DiskFailed{0, "no space left"}});
+  host.core_->DetachReplica();
+}
+
 void RegistryGroup::Step(RegistryHost& host, const Envelope& in) {
   Outbox out(Endpoint{host.node_, Port::kControl});
   host.core_->OnMessage(NowOf(host), in, out);
@@ -111,6 +129,13 @@
       }
     }
     for (auto& [name, host] : hosts_) {
+      if (host.core_ && now_ >= host.reopen_at_) {
+        host.reopen_at_ = TimePoint::Never();
+        OpenDisk(host);
+      }
+      if (host.core_ && now_ >= host.sync_at_ && host.disk_is_full_) {
+        RefuseWrite(host);
+      }
       if (host.core_ && now_ >= host.sync_at_) {
         host.sync_at_ = TimePoint::Never();
         Step(host, Envelope{{host.node_, Port::kDisk},
--- a/tests/support/registry_group.h
+++ b/tests/support/registry_group.h
@@ -26,6 +26,8 @@
   std::vector<RetryReply> retry_replies_;  ///< Since they were taken.
   std::vector<LimitReply> limit_replies_;  ///< Since they were taken.
   uint64_t starts_ = 0;                    ///< Number of starts so far.
+  bool disk_is_full_ = false;              ///< The disk refuses every write.
+  TimePoint reopen_at_ = TimePoint::Never();  ///< After a refused write.
   Duration clock_offset_;  ///< Time by which its clock is ahead.
 };
 
@@ -51,6 +53,11 @@
   void Start(const std::string& name);
   /** Replaces the disk of a stopped process by an empty one. */
   void Wipe(const std::string& name);
+  /** From now on the disk refuses every write, or takes them again. The process
+   * reopens it after each refused write, as a gateway does. */
+  void FillDisk(const std::string& name, bool full) {
+    Host(name).disk_is_full_ = full;
+  }
   /** Advances the clock by @p duration in steps of 1 ms. */
   void Run(Duration duration);
   /** Submits a change and runs until it completes, for at most 2 s.
@@ -96,6 +103,8 @@
   void CarryOut(RegistryHost& host, Outbox& out);
   void Step(RegistryHost& host, const Envelope& in);
   OperationResult WaitFor(RegistryHost& host, OperationId id);
+  void OpenDisk(RegistryHost& host);
+  void RefuseWrite(RegistryHost& host);
 
   RetryBounds retries_;      ///< Of all gateways.
   uint64_t disks_ = 100;     ///< Identity of the newest disk.
