--- a/tests/retry_budget_test.cc
+++ b/tests/retry_budget_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include "coordination/gateway/retry_entry.h"
+#include "support/disturb_gateways.h"
 #include "support/retry_fleet.h"
 
 namespace gv {
@@ -149,19 +150,7 @@
   uint64_t Below(uint64_t bound) { return random_() % bound; }
 
   void Disturb() {
-    RegistryGroup& group = fleet_.Group();
-    const bool herd = Below(60) == 0;
-    for (auto& [name, host] : group.hosts_) {
-      if (!host.core_) {
-        if (Below(10) == 0) {
-          group.Start(name);
-        }
-      } else if (herd ? Below(3) > 0 : Below(150) == 0) {
-        fleet_.Kill(name);
-      } else if (Below(100) == 0) {
-        group.Isolate(name, Below(2) == 0);
-      }
-    }
+    DisturbGateways(fleet_, [this](uint64_t bound) { return Below(bound); });
   }
 
   std::mt19937_64 random_;
