Soak: do not tell a process to reload that was frozen before it ran

Traced: it was frozen right after its start, woken 1.65 s later and sent SIGHUP in the same step, before it had run; its log has no line of that start. Ten of ten processes that are frozen at their start, woken and told to reload end by the signal; none of ten that have run for 0.4 s. A process cannot handle a signal before main, and the soak leaves 100 ms for that; it counted the time in which the process was frozen. The check stays as it is.

--- a/src/transport/gateway/wire_codec.h
+++ b/src/transport/gateway/wire_codec.h
@@ -27,7 +27,8 @@
   /** Parts of the prompt that other prompts may have as well: all but the
    * last. */
   std::vector<PromptPartId> shared_parts_;
-  std::string part_list_;  ///< All parts of the prompt, as the caller sent them.
+  std::string
+      part_list_;  ///< All parts of the prompt, as the caller sent them.
 };
 
 /** What a gateway tells a target beside the caller's request. */
--- a/tests/soak/soak_process.cc
+++ b/tests/soak/soak_process.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <fstream>
+#include <utility>
 
 #include "transport/steady_clock.h"
 
@@ -52,6 +53,7 @@
   const std::string settings = "--settings=" + folder + "/gateway.yaml";
   const std::string log = folder + "/log";
   asked_ = false;
+  frozen_early_ = false;
   started_ = SteadyNow();
   pid_ = fork();
   if (pid_ == 0) {
@@ -65,9 +67,16 @@
 
 void SoakProcess::Signal(int signal) {
   constexpr Duration kLoaderTime = 100_ms;
-  if (signal == SIGHUP && SteadyNow() - started_ < kLoaderTime) {
+  const TimePoint now = SteadyNow();
+  const bool is_loading = frozen_early_ || now - started_ < kLoaderTime;
+  if (signal == SIGHUP && is_loading) {
     return;
   }
+  if (signal == SIGSTOP) {
+    frozen_early_ = is_loading;
+  } else if (signal == SIGCONT && std::exchange(frozen_early_, false)) {
+    started_ = now;
+  }
   if (pid_ > 0) {
     asked_ = asked_ || signal == SIGTERM;
     kill(pid_, signal);
--- a/tests/soak/soak_process.h
+++ b/tests/soak/soak_process.h
@@ -56,7 +56,8 @@
   bool has_disk_;
   pid_t pid_ = 0;
   bool asked_ = false;  ///< Stopped or killed since its start.
-  TimePoint started_;
+  TimePoint started_;   ///< Since then it has run without being frozen at once.
+  bool frozen_early_ = false;  ///< Frozen before it could handle signals.
 };
 
 }  // namespace gv
