--- a/tests/platform/crashing_request_test.cc
+++ b/tests/platform/crashing_request_test.cc
@@ -99,6 +99,7 @@
   for (int i = 0; i < 3; ++i) {
     // Identical sound requests run at all targets when one of them crashes.
     std::vector<std::thread> callers;
+    callers.reserve(kTargets);
     for (int j = 0; j < kTargets; ++j) {
       callers.emplace_back(
           [&rig, call = Call("/look/x", "slow")]() { rig.Ask(call); });
--- a/tests/platform/short_grace_test.cc
+++ b/tests/platform/short_grace_test.cc
@@ -35,8 +35,10 @@
   std::atomic<bool> gone = false;
   std::mutex mutex;
   std::set<std::string> answered;
+  constexpr int kCallers = 4;
   std::vector<std::thread> callers;
-  for (int caller = 0; caller < 4; ++caller) {
+  callers.reserve(kCallers);
+  for (int caller = 0; caller < kCallers; ++caller) {
     callers.emplace_back([&, caller]() {
       for (int i = 0; !gone; ++i) {
         const std::string attempt =
