--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -142,8 +142,7 @@
             "listen": {what: "%s:%d" % self.address(what)
                        for what in ("front", "ready", "control")},
             "internalPortRange": [ports["peers"], ports["metrics"]],
-            "seeds": ["%s:%d" % gateway.address("control")
-                      for gateway in self.fleet.gateways if gateway.data][:3],
+            "seeds": self.fleet.seeds,
             "bootstrap": bootstrap, "dataDir": self.data,
             "faultTolerance": {"machines": 1, "zones": 0, "regions": 0},
             "bounds": {"revokeMs": 5000, "graceS": int(GRACE_S),
@@ -471,7 +470,7 @@
 class Fleet:
     """Gateways, workers and an operator."""
 
-    def __init__(self, folder, disks, others, seed):
+    def __init__(self, folder, disks, others, seed, spares=0):
         self.random = random.Random(seed)
         self.record = Record(os.path.join(folder, "record.txt"))
         self.folder = tempfile.mkdtemp(prefix="gooseberryvale-review-")
@@ -489,13 +488,19 @@
             raise CannotRun(self.command[0] + " is not built")
         self.net = "127.%d.%d." % (os.getpid() % 200 + 20,
                                    random.SystemRandom().randrange(1, 250))
-        ips = [self.net + str(i + 1) for i in range(disks + others)]
+        ips = [self.net + str(i + 1) for i in range(disks + others + spares)]
         names = ("front", "ready", "control", "peers", "metrics")
         self.ports = dict(zip(names, free_ports(ips, len(names))))
         zones = ("mavis-bank", "gordon-town", "papine")
-        for i, ip in enumerate(ips):
+        for i, ip in enumerate(ips[:disks + others]):
             self.gateways.append(Gateway(self, "front-%d" % (i + 1), ip,
                                          zones[i % 3], i < disks))
+        self.seeds = ["%s:%d" % gateway.address("control")
+                      for gateway in self.gateways if gateway.data][:3]
+        # Machines that may be added, with empty disks.
+        self.spares = [Gateway(self, "spare-%d" % (i + 1), ip, zones[i % 3],
+                               True)
+                       for i, ip in enumerate(ips[disks + others:])]
 
     def shuffled(self):
         """Nodes that serve control, in the order in which a caller tries."""
@@ -591,7 +596,7 @@
         return outcome, connection
 
     def stop(self):
-        for gateway in self.gateways:
+        for gateway in self.gateways + self.spares:
             gateway.end()
         keep = os.environ.get("KEEP_FOLDER")
         if keep:
@@ -624,7 +629,7 @@
                        "headerMs": 3000, "idleMs": 15000}}
 
 
-def run_case(folder, disks, others, case, seconds=110):
+def run_case(folder, disks, others, case, seconds=110, spares=0):
     """Runs a case and exits: 1 if the rule was broken, 0 if it held, 2 if the
     case could not run."""
     seed = int(os.environ.get("SEED", "1"))
@@ -645,7 +650,7 @@
 
     async def main():
         try:
-            fleets.append(Fleet(folder, disks, others, seed))
+            fleets.append(Fleet(folder, disks, others, seed, spares))
             broken, text = await asyncio.wait_for(case(fleets[0]), seconds)
             fleets[0].record.line(text)
             print(text)
