--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,12 +9,12 @@
 # come more than once.
 UNANSWERED = 0.35
 SPELL_S = 5.5
-PAUSE_S = 1.0
-SPELLS = 13
+PAUSE_S = 8.0
+SPELLS = 6
 # archive-read: 154,000 tokens on average, up to 700,000; from 277,201 on the
 # memory of more than one worker is needed.
 ARCHIVE_TOKENS = 430000
-ARCHIVE_CLIENTS = 5
+ARCHIVE_CLIENTS = 12
 
 
 async def case(fleet):
@@ -68,11 +68,12 @@
                 ("closed" in outcome.end or "Reset" in outcome.end)]
 
     tasks = [asyncio.create_task(client("/note/a", (4960, 1600)))
-             for _ in range(6)]
+             for _ in range(20)]
     tasks += [asyncio.create_task(client("/review/a", (45000, 1000)))
-              for _ in range(14)]
+              for _ in range(4)]
     tasks.append(asyncio.create_task(platform()))
     await asyncio.sleep(f.CONTACT_S)
+
     def set_orders(share):
         fleet.record.line("share of orders that get no answer: %.2f" % share)
         for worker in fleet.workers:
@@ -92,10 +93,10 @@
               for _ in range(ARCHIVE_CLIENTS)]
 
     for _ in range(SPELLS):
+        await asyncio.sleep(PAUSE_S)
         set_orders(UNANSWERED if f.trouble() else 0)
         await asyncio.sleep(SPELL_S)
         set_orders(0)
-        await asyncio.sleep(PAUSE_S)
         if len(lost()) > 3:
             break
     served = sum(1 for outcome in outcomes if outcome.complete)
