Review: each run writes its record anew, and exits with 2 if it cannot run

A run that failed before its stand-ins were up kept the record of an earlier run, and a case that could not be read exited with 1, as if the rule were broken.

--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -486,6 +486,7 @@
         with open(os.path.join(REPOSITORY, path), encoding="utf-8") as file:
             self.template = file.read()
         if not os.access(os.path.join(REPOSITORY, self.command[0]), os.X_OK):
+            shutil.rmtree(self.folder)
             raise CannotRun(self.command[0] + " is not built")
         self.net = "127.%d.%d." % (os.getpid() % 200 + 20,
                                    random.SystemRandom().randrange(1, 250))
@@ -638,8 +639,12 @@
 
     fleets = []
 
-    def leave(code):
+    def leave(code, text):
         # At once, as a stand-in's task may not end.
+        print(text)
+        with open(os.path.join(folder, "record.txt"), "a",
+                  encoding="utf-8") as record:
+            record.write(text + "\n")
         for fleet in fleets:
             fleet.stop()
         sys.stdout.flush()
@@ -647,19 +652,19 @@
 
     def watch():
         time.sleep(seconds + 5)
-        print("could not run: it took too long")
-        leave(2)
+        leave(2, "could not run: it took too long")
 
     async def main():
         try:
             fleets.append(Fleet(folder, disks, others, seed, spares))
             broken, text = await asyncio.wait_for(case(fleets[0]), seconds)
-            fleets[0].record.line(text)
-            print(text)
-            leave(1 if broken else 0)
+            leave(1 if broken else 0,
+                  ("broken: " if broken else "held: ") + text)
         except Exception as error:  # Also faults of this test itself.
-            print("could not run: %s %s" % (type(error).__name__, error))
-            leave(2)
+            leave(2, "could not run: %s %s" % (type(error).__name__, error))
 
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda got, frame: leave(
+            2, "could not run: ended by signal %d" % got))
     threading.Thread(target=watch, daemon=True).start()
     asyncio.run(main())
