Remove a lost member before its successor votes, and count its silence across terms

Cause: the successor was promoted first, so that four voters, one of them gone, needed three; the one that was gone was removed only after the leader had led for 8 s, as what is known of its silence began anew with each term. The second loss fell into that time. Ruled out: the successor is found or brought up to date too late (its first poll and its catching up take less than a second).

Change: silence counts from the last answer of the member in this term, or from its last poll before; after 2 s it is removed as soon as a learner can take its place or enough voters remain. While a voter is missing, no learner is promoted in an odd group. A gateway that begins a planned stop, or whose disk failed, says so in its polls and leaves at once if others can do without it. A leader changes members after half a second instead of two. membership-proposed lists all members with role, silence and state.

--- a/src/coordination/gateway/registry_core.h
+++ b/src/coordination/gateway/registry_core.h
@@ -36,6 +36,9 @@
   void AttachReplica(ReplicaCore replica);
   /** Removes the replica after a failure of the disk. */
   void DetachReplica() { replica_.reset(); }
+  /** The process is about to stop. As a member it leaves the group, if enough
+   * others stay. */
+  void BeginStop() { is_stopping_ = true; }
 
   /** Handles Tick, messages of other gateways and results of the disk. */
   void OnMessage(TimePoint now, const Envelope& in, Outbox& out);
@@ -200,6 +203,13 @@
                      Outbox& out);
   void TickRetries(TimePoint now, Outbox& out);
   void AnswerRetry(const std::string& service, const RetryAsker& asker,
+  /** @return Time since the last sign of life of a member. */
+  Duration SilenceOf(TimePoint now, const ReplicaProgress& replica) const;
+  /** @return True if a member runs but will not stay one: it stops, or has no
+   * working disk. */
+  bool IsLeaving(const NodeId& node) const;
+  /** @return The members for log lines. @pre This replica leads. */
+  std::string DescribeMembers(TimePoint now) const;
                    bool granted, const std::string& detail, Outbox& out) const;
 
   // registry_parts.cc: parts of prompts that crash engines.
@@ -298,3 +308,4 @@
 };
 
 }  // namespace gv
+  bool is_stopping_ = false;          ///< The process is about to stop.
--- a/src/coordination/gateway/registry_members.cc
+++ b/src/coordination/gateway/registry_members.cc
@@ -115,7 +115,7 @@
   poll.version_ = served_.Version();
   poll.nodes_digest_ = nodes_digest_;
   poll.targets_digest_ = targets_.Digest();
-  poll.has_disk_ = replica_.has_value();
+  poll.has_disk_ = replica_.has_value() && !is_stopping_;
   for (const NodeId& node : PollRecipients(now)) {
     out.Send(ControlEndpoint(node), poll);
   }
@@ -249,7 +249,7 @@
 }
 
 void RegistryCore::UpdateMembership(TimePoint now, Outbox& out) {
-  if (!IsActiveLeader(now) || now - leader_since_ < kPollTimeout) {
+  if (!IsActiveLeader(now) || now - leader_since_ < kLeaderSettle) {
     return;
   }
   const auto change = NextMembershipChange(now);
@@ -260,41 +260,82 @@
   if (index.has_value()) {
     Record(EventId::kMembershipProposed,
            "node=" + change->node_.Value() + " action=" +
-               std::string(NameOf(kMembershipActionNames, change->action_)),
+               std::string(NameOf(kMembershipActionNames, change->action_)) +
+               DescribeMembers(now),
            out);
   }
 }
 
+Duration RegistryCore::SilenceOf(TimePoint now,
+                                 const ReplicaProgress& replica) const {
+  // Answers tell of the time since this leader was elected, polls of the time
+  // before. A poll alone does not prove that the member gets what is sent.
+  const auto poller = pollers_.find(replica.node_);
+  const TimePoint polled = poller != pollers_.end() ? poller->second.last_poll_
+                                                    : started_.value_or(now);
+  return now - std::max(replica.heard_, std::min(polled, leader_since_));
+}
+
+bool RegistryCore::IsLeaving(const NodeId& node) const {
+  if (node == settings_.self_) {
+    return is_stopping_;
+  }
+  const auto poller = pollers_.find(node);
+  return poller != pollers_.end() && !poller->second.has_disk_;
+}
+
+std::string RegistryCore::DescribeMembers(TimePoint now) const {
+  std::string text;
+  for (const ReplicaProgress& replica : replica_->Progress(now)) {
+    text += " " + replica.node_.Value() + "=";
+    text += replica.voter_ ? "voter" : "learner";
+    if (!replica.active_) {
+      text += ",silent_ms=" + std::to_string(SilenceOf(now, replica).Ms());
+    }
+    text += IsLeaving(replica.node_) ? ",leaving" : "";
+    text += replica.disk_lost_ ? ",disk-lost" : "";
+  }
+  return text;
+}
+
 std::optional<MembershipChange> RegistryCore::NextMembershipChange(
     TimePoint now) const {
   const std::vector<ReplicaProgress> replicas = replica_->Progress(now);
-  int64_t active_voters = 0;
+  int64_t voters = 0;
+  int64_t lasting_voters = 0;
+  const ReplicaProgress* ready_learner = nullptr;
   for (const ReplicaProgress& replica : replicas) {
-    active_voters +=
-        replica.voter_ && replica.active_ && !replica.disk_lost_ ? 1 : 0;
+    const bool lasts = replica.active_ && !IsLeaving(replica.node_);
     if (replica.voter_ && replica.disk_lost_) {
       return MembershipChange{MembershipAction::kAddLearner, replica.node_};
     }
-    if (!replica.voter_ && replica.active_ && replica.caught_up_) {
-      return MembershipChange{MembershipAction::kPromote, replica.node_};
+    voters += replica.voter_ ? 1 : 0;
+    lasting_voters += replica.voter_ && lasts ? 1 : 0;
+    if (!replica.voter_ && lasts && replica.caught_up_) {
+      ready_learner = &replica;
     }
   }
-  for (const auto& [node, poller] : pollers_) {
-    if (poller.has_disk_ && !IsMember(node)) {
-      return MembershipChange{MembershipAction::kAddLearner, node};
-    }
+  // A voter more raises the quorum of an odd group. While a voter is missing it
+  // leaves first, as otherwise the group would need all others.
+  const bool may_promote = voters % 2 == 0 || lasting_voters == voters;
+  if (ready_learner != nullptr && may_promote) {
+    return MembershipChange{MembershipAction::kPromote, ready_learner->node_};
   }
-  const bool can_remove_voter =
-      active_voters >= 2 * settings_.tolerated_losses_ + 1;
+  const bool has_spare = ready_learner != nullptr ||
+                         lasting_voters >= 2 * settings_.tolerated_losses_ + 1;
   for (const ReplicaProgress& replica : replicas) {
-    const auto poller = pollers_.find(replica.node_);
-    const bool unreachable = !replica.active_ && poller == pollers_.end() &&
-                             now - leader_since_ > kVoterTimeout &&
-                             replica.node_ != settings_.self_;
-    if (unreachable && (can_remove_voter || !replica.voter_)) {
+    const bool is_gone =
+        IsLeaving(replica.node_) || SilenceOf(now, replica) > kMemberTimeout;
+    if (is_gone && (has_spare || !replica.voter_)) {
       return MembershipChange{MembershipAction::kRemove, replica.node_};
     }
   }
+  for (const auto& [node, poller] : pollers_) {
+    const bool polls = now - poller.last_poll_ < kMemberTimeout;
+    if (polls && poller.has_disk_ && !IsMember(node)) {
+      return MembershipChange{MembershipAction::kAddLearner, node};
+    }
+  }
   return std::nullopt;
 }
 
--- a/src/coordination/gateway/registry_type.h
+++ b/src/coordination/gateway/registry_type.h
@@ -49,9 +49,13 @@
 /** Time for which the row of a departed target is kept; longer than any
  * registration can be delayed. */
 inline constexpr Duration kDepartedRetention = 60_s;
-/** Time after which an unreachable voter is removed, if enough voters remain.
+/** Time without a sign of life after which a member is removed, if enough
+ * others remain or one can take its place. Until then the group bears no other
+ * loss, and the next one may come as soon as a successor has caught up. */
+inline constexpr Duration kMemberTimeout = 2_s;
+/** Time for the replicas to answer a new leader, before it changes the members.
  */
-inline constexpr Duration kVoterTimeout = 8_s;
+inline constexpr Duration kLeaderSettle = 500_ms;
 /** Election timeouts of the members' replicas. */
 inline constexpr Duration kElectionMin = 600_ms;
 inline constexpr Duration kElectionMax = 1100_ms;
--- a/src/coordination/replica_core.cc
+++ b/src/coordination/replica_core.cc
@@ -205,7 +205,7 @@
                     Membership().Apply(change, disk));
   BOOST_OUTCOME_TRY(const LogIndex index,
                     Propose(now, EntryKind::kMembership, next.Encode(), out));
-  SyncPeers(now);
+  SyncPeers(now - settings_.election_max_);
   return index;
 }
 
--- a/src/coordination/replica_core.h
+++ b/src/coordination/replica_core.h
@@ -166,7 +166,8 @@
                          const VoteReply& reply, Outbox& out);
 
   // replica_leader.cc: sending entries, rounds, lease, commit of the leader.
-  void SyncPeers(TimePoint now);
+  /** @param heard Last answer to assume of members without a peer yet. */
+  void SyncPeers(TimePoint heard);
   void StartRound(TimePoint now, Outbox& out);
   void SendHeartbeat(const NodeId& node, Peer& peer, Outbox& out);
   void SendEntries(const NodeId& node, Peer& peer, Outbox& out);
--- a/src/coordination/replica_election.cc
+++ b/src/coordination/replica_election.cc
@@ -139,7 +139,8 @@
   peers_.clear();
   rounds_.clear();
   Record(EventId::kLeaderElected, "term " + std::to_string(term_.Value()), out);
-  SyncPeers(now);
+  // Of the time before its term this leader knows no answers.
+  SyncPeers(TimePoint());
   StartRound(now, out);
   term_start_ = log_.LastIndex().Next();
   const bool members_logged = !memberships_.back().first.IsNone();
--- a/src/coordination/replica_leader.cc
+++ b/src/coordination/replica_leader.cc
@@ -15,14 +15,14 @@
 
 }  // namespace
 
-void ReplicaCore::SyncPeers(TimePoint now) {
+void ReplicaCore::SyncPeers(TimePoint heard) {
   for (const ReplicaMember& member : Membership().All()) {
     if (member.node_ == settings_.self_ || peers_.contains(member.node_)) {
       continue;
     }
     Peer peer;
     peer.next_ = log_.LastIndex().Next();
-    peer.heard_ = now - settings_.election_max_;
+    peer.heard_ = heard;
     peers_.emplace(member.node_, peer);
   }
   std::erase_if(peers_, [this](const auto& item) {
@@ -238,11 +238,13 @@
       row.match_ = disk_.Durable();
       row.caught_up_ = true;
       row.active_ = true;
+      row.heard_ = now;
     } else if (const auto found = peers_.find(member.node_);
                found != peers_.end()) {
       const Peer& peer = found->second;
       row.match_ = peer.match_;
       row.caught_up_ = IsCaughtUp(peer);
+      row.heard_ = peer.heard_;
       row.active_ = now - peer.heard_ < settings_.election_max_;
       row.disk_lost_ =
           member.voter_ && !peer.disk_.IsNone() && peer.disk_ != member.disk_;
--- a/src/coordination/replica_type.h
+++ b/src/coordination/replica_type.h
@@ -85,6 +85,7 @@
   LogIndex match_;          ///< Last index known to be durable there.
   uint64_t lag_ = 0;        ///< Entries of the leader's log that it lacks.
   bool caught_up_ = false;  ///< True if a learner may be promoted now.
+  TimePoint heard_;         ///< Last answer in this term; zero if none.
   bool active_ = false;     ///< True if it answered recently.
   bool disk_lost_ = false;  ///< True if a voter answers with another disk.
 };
--- a/src/protocol/registry_messages.h
+++ b/src/protocol/registry_messages.h
@@ -17,7 +17,8 @@
   uint64_t version_ = 0;         ///< Configuration that the sender serves.
   uint64_t nodes_digest_ = 0;    ///< Of the gateways that the sender knows.
   uint64_t targets_digest_ = 0;  ///< Of the targets that the sender knows.
-  bool has_disk_ = false;        ///< The sender could become a member.
+  bool has_disk_ = false;        ///< The sender can be a member, and is not
+                                 ///< about to stop.
 };
 
 /** Answers a RegistryPoll. */
--- a/src/transport/gateway/gateway.cc
+++ b/src/transport/gateway/gateway.cc
@@ -285,6 +285,7 @@
   }
   stopping_ = true;
   stop_begun_ = Now();
+  registry_.BeginStop();
   Record(EventId::kProcessStopping,
          "requests=" + std::to_string(forwards_.size()) +
              " connections=" + std::to_string(callers_.size()));
