Take late orders out of their table before their callbacks run

Cause: TickOrders collected the ids of late orders and finished one after the other; the callback of one released reservations, which called TickOrders again and erased the others. The outer loop then used end(). Ruled out: an order that ends twice (answers look it up by id), a cancelled connection that is used again (its handler is dropped).

Change: TakeIf takes all late orders out before the first callback; releases are addressed by id and looked up again; ReleaseTicket sends its own release only; ReleaseTickets takes the tickets out first.

--- a/src/transport/gateway/forward_reserve.cc
+++ b/src/transport/gateway/forward_reserve.cc
@@ -1,5 +1,7 @@
 /** @file forward_reserve.cc Reserves memory for a prompt at several engines,
  * all or nothing, and releases it. */
+#include <utility>
+
 #include "transport/gateway/forward.h"
 #include "transport/gateway/gateway.h"
 
@@ -89,11 +91,10 @@
 }
 
 void Forward::ReleaseTickets() {
-  for (const Ticket& ticket : tickets_) {
+  pending_placement_.reset();
+  for (const Ticket& ticket : std::exchange(tickets_, {})) {
     gateway_.ReleaseTicket(ticket.target_, ticket.address_, ticket.name_);
   }
-  tickets_.clear();
-  pending_placement_.reset();
 }
 
 }  // namespace gv
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -271,6 +271,7 @@
   void TickOrders(TimePoint now);
 
   ProcessSettings settings_;           ///< Of this process.
+  void SendRelease(TimePoint now, uint64_t id);
   std::string settings_file_;          ///< Read again on SIGHUP.
   const WireCodec& codec_;             ///< Of the surroundings.
   boost::asio::io_context io_;         ///< Runs everything.
@@ -313,9 +314,9 @@
   std::map<OperationId, OpenPlacementRequest>
       placement_requests_;                       ///< Open at a leader.
   std::map<TargetId, CrashProbe> crash_probes_;  ///< In progress.
-  uint64_t last_order_ = 0;                      ///< For ids of orders.
-  std::map<uint64_t, OpenOrder> orders_;         ///< On their way.
-  std::vector<OpenRelease> releases_;            ///< To be sent again.
+  uint64_t last_order_ = 0;               ///< For ids of orders and releases.
+  std::map<uint64_t, OpenOrder> orders_;  ///< On their way.
+  std::map<uint64_t, OpenRelease> releases_;  ///< To be sent again.
 
   bool stopping_ = false;           ///< A planned stop has begun.
   TimePoint stop_begun_;            ///< When.
--- a/src/transport/gateway/gateway_orders.cc
+++ b/src/transport/gateway/gateway_orders.cc
@@ -1,5 +1,6 @@
 /** @file gateway_orders.cc Posts orders to targets, and releases reservations
  * until the target has said that they are gone. */
+#include "state/container_func.h"
 #include "transport/gateway/gateway.h"
 
 namespace gv {
@@ -80,44 +81,42 @@
            "ticket=" + ticket + " by=its-lifetime holder=" + target.Value());
     return;
   }
-  releases_.push_back(OpenRelease{address, ticket, 0, Now()});
-  TickOrders(Now());
+  const uint64_t id = ++last_order_;
+  releases_.emplace(id, OpenRelease{address, ticket, 0, TimePoint()});
+  SendRelease(Now(), id);
 }
 
-void Gateway::TickOrders(TimePoint now) {
-  std::vector<uint64_t> late;
-  for (const auto& [id, order] : orders_) {
-    if (now >= order.until_) {
-      late.push_back(id);
-    }
+void Gateway::SendRelease(TimePoint now, uint64_t id) {
+  const auto found = releases_.find(id);
+  if (found == releases_.end() || now < found->second.next_) {
+    return;
+  }
+  OpenRelease& release = found->second;
+  if (release.tries_ >= kMostReleases) {
+    releases_.erase(found);
+    return;
   }
-  for (const uint64_t id : late) {
-    const auto found = orders_.find(id);
-    found->second.connection_->Cancel();
-    found->second.status_ = 0;
-    FinishOrder(id);
+  ++release.tries_;
+  release.next_ = now + kReleaseRetry;
+  SendOrder(release.address_, codec_.encode_release_(release.ticket_),
+            [this, id](unsigned status) {
+              if (status != 0) {
+                releases_.erase(id);
+              }
+            });
+}
+
+void Gateway::TickOrders(TimePoint now) {
+  // All late orders are taken out before the first callback, which may send,
+  // finish and release other orders.
+  std::vector<OpenOrder> late = TakeIf(
+      orders_, [now](const OpenOrder& order) { return now >= order.until_; });
+  for (const OpenOrder& order : late) {
+    order.connection_->Cancel();
+    order.done_(0);
   }
-  std::erase_if(releases_, [](const OpenRelease& release) {
-    return release.tries_ >= kMostReleases;
-  });
-  for (size_t i = 0; i < releases_.size(); ++i) {
-    OpenRelease& release = releases_[i];
-    if (now < release.next_) {
-      continue;
-    }
-    ++release.tries_;
-    release.next_ = now + kReleaseRetry;
-    const std::string address = release.address_;
-    const std::string ticket = release.ticket_;
-    SendOrder(address, codec_.encode_release_(ticket),
-              [this, address, ticket](unsigned status) {
-                if (status == 0) {
-                  return;
-                }
-                std::erase_if(releases_, [&](const OpenRelease& open) {
-                  return open.address_ == address && open.ticket_ == ticket;
-                });
-              });
+  for (const uint64_t id : KeysOf(releases_)) {
+    SendRelease(now, id);
   }
 }
 
