Acknowledge a target's leaving once the leader and a majority know of it

Cause: the answer came as soon as the gateway's own table had changed, and a departed target sends nothing more from which others could learn. Ruled out: a lost message (tables are compared, as long as one gateway knows), an older registration that undoes the departure.

Only members get notices, so that the cost does not grow with the number of gateways. The departure of a target that is not known here is kept for its starts until then. A target that starts anew elsewhere no longer owns its old address. Events leaving-acknowledged and leaving-not-confirmed.

--- a/src/coordination/gateway/registry_core.cc
+++ b/src/coordination/gateway/registry_core.cc
@@ -49,6 +49,10 @@
           OnTargetsSilent(from, body, out);
         } else if constexpr (std::is_same_v<T, TargetQuery>) {
           OnTargetQuery(now, from, body, out);
+        } else if constexpr (std::is_same_v<T, LeavingNotice>) {
+          OnLeavingNotice(now, in.from_, body, out);
+        } else if constexpr (std::is_same_v<T, LeavingNoted>) {
+          OnLeavingNoted(now, from, body, out);
         } else if constexpr (std::is_same_v<T, ChangeForward>) {
           OnChange(now, in.from_, body, out);
         } else if constexpr (std::is_same_v<T, ChangeOutcome>) {
@@ -98,6 +102,7 @@
     }
   }
   ExpireOperations(now, out);
+  TickLeaving(now, out);
   TickRetries(now, out);
   TickParts(now, out);
   TickLimits(now);
--- a/src/coordination/gateway/registry_core.h
+++ b/src/coordination/gateway/registry_core.h
@@ -60,8 +60,15 @@
   /** Marks a target as draining after it announced in an answer that it is
    * leaving. */
   void MarkLeaving(const TargetId& id, Outbox& out);
-  /** Marks a target as gone after it deregistered. */
-  void Depart(TimePoint now, const TargetId& id, Outbox& out);
+  /** Marks a target as gone after it deregistered. @param wall_ms Wall time in
+   * milliseconds since 1970. */
+  void Depart(TimePoint now, const TargetId& id, uint64_t wall_ms, Outbox& out);
+  /** Makes sure that the other gateways get to know that a target is draining
+   * or gone, also if this one stops. The result is returned by
+   * TakeCompletedOperations(): kAccepted once the leader, if it is in touch,
+   * and a majority of the members know; only then may the target be told.
+   * @pre Targets() has a row of @p id. */
+  OperationId ConfirmLeaving(TimePoint now, const TargetId& id, Outbox& out);
 
   /** Tells all gateways of an engine that crashed while prompts of this gateway
    * had no answer yet. */
@@ -128,6 +135,13 @@
     std::string text_;      ///< Text of the change; unused for reads.
     bool sent_ = false;     ///< Sent to a leader that has not rejected it.
   };
+  /** A target that leaves, until enough members know. */
+  struct PendingLeaving {
+    TargetId target_;            ///< The target.
+    TimePoint asked_;            ///< When its notice came.
+    TimePoint next_send_;        ///< When the notice is sent again.
+    std::set<NodeId> known_by_;  ///< Members that have answered.
+  };
   /** A change that the leader has proposed and that is not committed yet. */
   struct PendingProposal {
     LogIndex index_;         ///< Index of the log entry.
@@ -189,6 +203,13 @@
   void RefreshNodes(TimePoint now);
   std::vector<NodeId> MemberIds() const;
   void UpdateMembership(TimePoint now, Outbox& out);
+  /** @return Time since the last sign of life of a member. */
+  Duration SilenceOf(TimePoint now, const ReplicaProgress& replica) const;
+  /** @return True if a member runs but will not stay one: it stops, or has no
+   * working disk. */
+  bool IsLeaving(const NodeId& node) const;
+  /** @return The members for log lines. @pre This replica leads. */
+  std::string DescribeMembers(TimePoint now) const;
   std::optional<MembershipChange> NextMembershipChange(TimePoint now) const;
 
   // registry_retries.cc: permits of retries.
@@ -203,13 +224,6 @@
                      Outbox& out);
   void TickRetries(TimePoint now, Outbox& out);
   void AnswerRetry(const std::string& service, const RetryAsker& asker,
-  /** @return Time since the last sign of life of a member. */
-  Duration SilenceOf(TimePoint now, const ReplicaProgress& replica) const;
-  /** @return True if a member runs but will not stay one: it stops, or has no
-   * working disk. */
-  bool IsLeaving(const NodeId& node) const;
-  /** @return The members for log lines. @pre This replica leads. */
-  std::string DescribeMembers(TimePoint now) const;
                    bool granted, const std::string& detail, Outbox& out) const;
 
   // registry_parts.cc: parts of prompts that crash engines.
@@ -252,6 +266,19 @@
   void SendRefreshedTargets(Outbox& out);
   void UpdateUnreachableTargets(TimePoint now, Outbox& out);
   void RecordGone(const TargetId& id, std::string detail, Outbox& out) const;
+
+  // registry_leaving.cc: targets whose leaving is acknowledged.
+  void SendLeaving(TimePoint now, OperationId id, PendingLeaving& leaving,
+                   Outbox& out);
+  void OnLeavingNotice(TimePoint now, const Endpoint& from,
+                       const LeavingNotice& notice, Outbox& out);
+  void OnLeavingNoted(TimePoint now, const NodeId& from,
+                      const LeavingNoted& noted, Outbox& out);
+  void TickLeaving(TimePoint now, Outbox& out);
+  bool IsLeavingKnown(TimePoint now, const PendingLeaving& leaving) const;
+  void FinishLeaving(TimePoint now, OperationId id, OperationState state,
+                     Outbox& out);
+  bool ForwardsChanges(TimePoint now) const;
   bool IsMember(const NodeId& node) const;
 
   RegistrySettings settings_;
@@ -285,6 +312,7 @@
   uint64_t nodes_digest_ = 0;         ///< Digest of nodes_.
   TimePoint next_membership_check_;   ///< When UpdateMembership() runs again.
   TimePoint leader_since_;            ///< When this replica became the leader.
+  bool is_stopping_ = false;          ///< The process is about to stop.
   bool pushed_ = true;  ///< committed_ has been pushed to the pollers.
 
   std::map<std::string, ServiceRetries> retries_;  ///< By service.
@@ -297,6 +325,9 @@
   TargetLimits limits_;
   TimePoint next_limit_expiry_;  ///< When limits of gone targets are removed.
 
+  std::map<OperationId, PendingLeaving>
+      pending_leavings_;  ///< Not acknowledged yet.
+
   TargetDirectory targets_;
   std::set<TargetId> refreshed_;  ///< Refreshed targets for the next batch.
   std::set<TargetId> changed_;    ///< Changed targets for the next batch.
@@ -308,4 +339,3 @@
 };
 
 }  // namespace gv
-  bool is_stopping_ = false;          ///< The process is about to stop.
--- a/src/coordination/gateway/registry_targets.cc
+++ b/src/coordination/gateway/registry_targets.cc
@@ -54,8 +54,9 @@
   out.Record(std::move(event));
 }
 
-void RegistryCore::Depart(TimePoint now, const TargetId& id, Outbox& out) {
-  if (targets_.Depart(now, id) == nullptr) {
+void RegistryCore::Depart(TimePoint now, const TargetId& id, uint64_t wall_ms,
+                          Outbox& out) {
+  if (targets_.Depart(now, id, wall_ms) == nullptr) {
     return;
   }
   RecordGone(id, "the target announced its departure", out);
@@ -241,15 +242,10 @@
 
 void RegistryCore::OnGossip(TimePoint now, const NodeId& from,
                             const TargetGossip& gossip, Outbox& out) {
-  const bool can_forward = IsMember(settings_.self_) && gossip.parts_.empty();
-  // The leader forwards changes; other members do so only while the leader is
-  // unreachable.
-  const bool is_forwarder =
-      leader_ == settings_.self_ || now - last_leader_grant_ > kLeaderTimeout;
+  const bool forwards = gossip.parts_.empty() && ForwardsChanges(now);
   for (const TargetRegistration& target : gossip.targets_) {
     const TargetDirectory::Change change = targets_.Merge(now, target);
-    if (can_forward && is_forwarder &&
-        change == TargetDirectory::Change::kChanged) {
+    if (forwards && change == TargetDirectory::Change::kChanged) {
       QueueChange(target.id_);
     }
   }
--- a/src/coordination/gateway/target_directory.cc
+++ b/src/coordination/gateway/target_directory.cc
@@ -85,6 +85,9 @@
                          entry.target_.address_ == target.address_ &&
                          entry.target_.service_ == target.service_;
   ToggleDigest(entry);
+  if (entry.target_.address_ != target.address_) {
+    ReleaseAddress(entry);
+  }
   entry = updated;
   ToggleDigest(entry);
   if (unchanged) {
@@ -137,10 +140,18 @@
 }
 
 const TargetRegistration* TargetDirectory::Depart(TimePoint now,
-                                                  const TargetId& id) {
+                                                  const TargetId& id,
+                                                  uint64_t wall_ms) {
   const auto found = entries_.find(id);
-  if (found == entries_.end() ||
-      found->second.target_.state_ == RegistrationState::kGone) {
+  if (found == entries_.end()) {
+    TargetRegistration departed;
+    departed.id_ = id;
+    departed.state_ = RegistrationState::kGone;
+    departed.start_ms_ = wall_ms;
+    Merge(now, departed);
+    return &entries_.at(id).target_;
+  }
+  if (found->second.target_.state_ == RegistrationState::kGone) {
     return nullptr;
   }
   SetState(found->second, RegistrationState::kGone);
@@ -148,12 +159,16 @@
   return &found->second.target_;
 }
 
-std::map<TargetId, DirectoryEntry>::iterator TargetDirectory::Erase(
-    std::map<TargetId, DirectoryEntry>::iterator at) {
-  const auto address = by_address_.find(at->second.target_.address_);
-  if (address != by_address_.end() && address->second == at->first) {
+void TargetDirectory::ReleaseAddress(const DirectoryEntry& entry) {
+  const auto address = by_address_.find(entry.target_.address_);
+  if (address != by_address_.end() && address->second == entry.target_.id_) {
     by_address_.erase(address);
   }
+}
+
+std::map<TargetId, DirectoryEntry>::iterator TargetDirectory::Erase(
+    std::map<TargetId, DirectoryEntry>::iterator at) {
+  ReleaseAddress(at->second);
   ToggleDigest(at->second);
   return entries_.erase(at);
 }
--- a/src/coordination/gateway/target_directory.h
+++ b/src/coordination/gateway/target_directory.h
@@ -51,11 +51,13 @@
   bool MarkDraining(const TargetId& id);
 
   /**
-   * Marks a target as gone.
-   * @return The changed row, or nullptr if the target is unknown or gone
-   * already.
+   * Marks a target as gone. A target that is not known, as its registration is
+   * still on the way, gets a row for all starts until now.
+   * @param wall_ms Wall time in milliseconds since 1970.
+   * @return The changed row, or nullptr if the target is gone already.
    */
-  const TargetRegistration* Depart(TimePoint now, const TargetId& id);
+  const TargetRegistration* Depart(TimePoint now, const TargetId& id,
+                                   uint64_t wall_ms);
 
   /** Records a heartbeat that another gateway received. It is ignored if the
    * target is unknown, has started anew since, or has a newer sequence number.
@@ -116,6 +118,8 @@
   /** Records @p target as the owner of its address, and marks the previous
    * owner as gone. */
   void MarkPreviousOwnerGone(const TargetRegistration& target);
+  /** Forgets that the target of @p entry owns its address. */
+  void ReleaseAddress(const DirectoryEntry& entry);
   void SetState(DirectoryEntry& entry, RegistrationState state);
   /** Adds an entry to the digest of its part, or removes it if it was added. */
   void ToggleDigest(const DirectoryEntry& entry);
--- a/src/protocol/message.cc
+++ b/src/protocol/message.cc
@@ -104,5 +104,7 @@
 template Message::Message(LimitReport);
 template Message::Message(LimitAsk);
 template Message::Message(LimitReply);
+template Message::Message(LeavingNotice);
+template Message::Message(LeavingNoted);
 
 }  // namespace gv
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -54,7 +54,7 @@
     ReadOutcome, GatewayLoad, PromptAsk, PromptPlaced, PromptRefused,
     PromptStep, PromptQueued, TargetsHeard, TargetsSilent, TargetQuery,
     RetryAsk, RetryReply, EngineCrash, PartsAnswered, PartTable, LimitReport,
-    LimitAsk, LimitReply>;
+    LimitAsk, LimitReply, LeavingNotice, LeavingNoted>;
 
 /** True for the types that are alternatives of Variant. */
 template <class T, class Variant>
--- a/src/protocol/registry_messages.h
+++ b/src/protocol/registry_messages.h
@@ -71,6 +71,19 @@
   std::vector<uint64_t> digests_;  ///< Of each part of the sender's table.
 };
 
+/** A gateway to the members: a target leaves, which the gateway acknowledges
+ * once enough of them know. */
+struct LeavingNotice {
+  OperationId operation_;      ///< Matches LeavingNoted.
+  TargetRegistration target_;  ///< Its row; without an address if it is not
+                               ///< known to the sender.
+};
+
+/** Answers a LeavingNotice: the sender has taken it in. */
+struct LeavingNoted {
+  OperationId operation_;  ///< Copied.
+};
+
 /** A change of the configuration on its way to the leader. */
 struct ChangeForward {
   OperationId operation_;  ///< Matches ChangeOutcome.
--- a/src/state/event_type.h
+++ b/src/state/event_type.h
@@ -54,6 +54,8 @@
   kMembershipProposed = 602,
   kConfigurationRefused = 603,
   kConfigurationAccepted = 604,
+  kLeavingAcknowledged = 605,
+  kLeavingNotConfirmed = 606,
   kForwardAdmitted = 610,
   kForwardRefused = 611,
   kForwardSent = 612,
--- a/src/state/table/events.h
+++ b/src/state/table/events.h
@@ -19,7 +19,7 @@
   std::string_view meaning_;  ///< For people.
 };
 
-inline constexpr std::array<EventRow, 74> kEvents{{
+inline constexpr std::array<EventRow, 76> kEvents{{
     {EventId::kProcessStarted, "process-started", EventLevel::kInfo,
      "A process started with its roles."},
     {EventId::kProcessStopping, "process-stopping", EventLevel::kInfo,
@@ -108,6 +108,12 @@
      EventLevel::kWarning, "An operator sent an invalid configuration."},
     {EventId::kConfigurationAccepted, "configuration-accepted",
      EventLevel::kInfo, "A configuration was acknowledged to an operator."},
+    {EventId::kLeavingAcknowledged, "leaving-acknowledged", EventLevel::kInfo,
+     "Enough members know that a target leaves; it is told so."},
+    {EventId::kLeavingNotConfirmed, "leaving-not-confirmed",
+     EventLevel::kWarning,
+     "Too few members answered that they know of a leaving; the target calls "
+     "another gateway."},
     {EventId::kForwardAdmitted, "forward-admitted", EventLevel::kDebug,
      "A gateway took a request in."},
     {EventId::kForwardRefused, "forward-refused", EventLevel::kInfo,
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -243,6 +243,9 @@
   void OnRegister(const std::string& id, const HttpRequest& request,
                   const HttpService::Respond& done);
   void OnDepart(const std::string& id, const HttpService::Respond& done);
+  /** Answers a target that leaves, once enough gateways know. */
+  void AnswerLeaving(const TargetId& id, const HttpService::Respond& done,
+                     Outbox& out);
   void OnPutConfiguration(const HttpRequest& request,
                           HttpService::Respond done);
   void OnGetConfiguration(HttpService::Respond done);
@@ -268,10 +271,10 @@
 
   // gateway_orders.cc: orders to targets.
   void FinishOrder(uint64_t id);
+  void SendRelease(TimePoint now, uint64_t id);
   void TickOrders(TimePoint now);
 
   ProcessSettings settings_;           ///< Of this process.
-  void SendRelease(TimePoint now, uint64_t id);
   std::string settings_file_;          ///< Read again on SIGHUP.
   const WireCodec& codec_;             ///< Of the surroundings.
   boost::asio::io_context io_;         ///< Runs everything.
--- a/src/transport/gateway/gateway_calls.cc
+++ b/src/transport/gateway/gateway_calls.cc
@@ -4,6 +4,7 @@
 #include "state/enum_names.h"
 #include "state/event_func.h"
 #include "transport/gateway/gateway.h"
+#include "transport/steady_clock.h"
 
 namespace gv {
 namespace {
@@ -77,8 +78,24 @@
   }
   Outbox out(Endpoint{self_, Port::kControl});
   registry_.RegisterTarget(Now(), target.value(), out);
+  const bool is_leaving = target.value().state_ != RegistrationState::kReady &&
+                          registry_.Targets().Find(TargetId(id)) != nullptr;
+  if (is_leaving) {
+    AnswerLeaving(TargetId(id), done, out);
+  }
   CarryOut(out);
-  done(JsonReply(kOk, "{}"));
+  if (!is_leaving) {
+    done(JsonReply(kOk, "{}"));
+  }
+}
+
+void Gateway::AnswerLeaving(const TargetId& id,
+                            const HttpService::Respond& done, Outbox& out) {
+  const OperationId operation = registry_.ConfirmLeaving(Now(), id, out);
+  operations_[operation] = [done](const OperationResult& end) {
+    const bool known = end.state_ == OperationState::kAccepted;
+    done(JsonReply(known ? kOk : kUnavailable, "{}"));
+  };
 }
 
 void Gateway::OnDepart(const std::string& id,
@@ -88,9 +105,9 @@
     return;
   }
   Outbox out(Endpoint{self_, Port::kControl});
-  registry_.Depart(Now(), TargetId(id), out);
+  registry_.Depart(Now(), TargetId(id), static_cast<uint64_t>(WallMs()), out);
+  AnswerLeaving(TargetId(id), done, out);
   CarryOut(out);
-  done(JsonReply(kOk, "{}"));
 }
 
 void Gateway::OnPutConfiguration(const HttpRequest& request,
--- a/tests/gateway_directory_test.cc
+++ b/tests/gateway_directory_test.cc
@@ -74,7 +74,7 @@
   // departure arrives, delayed by a network partition.
   TargetDirectory old;
   old.Merge(TimePoint(0), Target("a", "x:1", 100, 1));
-  REQUIRE(old.Depart(TimePoint(1000), TargetId("a")) != nullptr);
+  REQUIRE(old.Depart(TimePoint(1000), TargetId("a"), 0) != nullptr);
   TargetDirectory restarted;
   const TimePoint now(13000);
   restarted.Merge(now, old.Row(now, TargetId("a")));
@@ -117,7 +117,7 @@
   const uint64_t before_draining = one.Digest();
   CHECK(one.MarkDraining(TargetId("a")));
   CHECK(one.Digest() != before_draining);
-  one.Depart(TimePoint(2000), TargetId("a"));
+  one.Depart(TimePoint(2000), TargetId("a"), 0);
   CHECK(one.Digest() == table({b2}).Digest());
   one.Drop(TargetId("b"));
   CHECK(one.Digest() == TargetDirectory().Digest());
--- a/tests/gateway_placement_test.cc
+++ b/tests/gateway_placement_test.cc
@@ -254,7 +254,7 @@
   request.service_ = &service;
   gateway.health_.OnOutcome(TimePoint(0), TargetId("engine-0"),
                             HealthOutcome::kUnreachable);
-  directory.Depart(TimePoint(0), TargetId("engine-1"));
+  directory.Depart(TimePoint(0), TargetId("engine-1"), 0);
   const auto placement = gateway.placer_.Place(TimePoint(10), request);
   REQUIRE(placement.has_value());
   CHECK(placement->target_ == TargetId("engine-2"));
--- a/tests/support/registry_group.cc
+++ b/tests/support/registry_group.cc
@@ -8,6 +8,9 @@
 constexpr Duration kSync{2};
 /** From a refused write until the disk is opened again. */
 constexpr Duration kReopen = 700_ms;
+/** Wall time of departures; later than the start of any target of a test that
+ * is to depart without a row. */
+constexpr uint64_t kWallMs = 1500;
 
 }  // namespace
 
@@ -257,11 +260,26 @@
   }
 }
 
-void RegistryGroup::Depart(const std::string& at, const std::string& id) {
+OperationId RegistryGroup::Depart(const std::string& at,
+                                  const std::string& id) {
   RegistryHost& host = Host(at);
   Outbox out(Endpoint{host.node_, Port::kControl});
-  host.core_->Depart(NowOf(host), TargetId(id), out);
+  host.core_->Depart(NowOf(host), TargetId(id), kWallMs, out);
+  const OperationId operation =
+      host.core_->ConfirmLeaving(NowOf(host), TargetId(id), out);
   CarryOut(host, out);
+  return operation;
+}
+
+OperationId RegistryGroup::Drain(const std::string& at,
+                                 const TargetRegistration& target) {
+  RegistryHost& host = Host(at);
+  Outbox out(Endpoint{host.node_, Port::kControl});
+  host.core_->RegisterTarget(NowOf(host), target, out);
+  const OperationId operation =
+      host.core_->ConfirmLeaving(NowOf(host), target.id_, out);
+  CarryOut(host, out);
+  return operation;
 }
 
 }  // namespace gv
--- a/tests/support/registry_group.h
+++ b/tests/support/registry_group.h
@@ -76,8 +76,16 @@
   bool AllHaveLeases();
   /** Delivers a registration of a target to the gateway @p at. */
   void Register(const std::string& at, const TargetRegistration& target);
-  /** Deregisters a target at the gateway @p at. */
-  void Depart(const std::string& at, const std::string& id);
+  /** Deregisters a target at the gateway @p at. @return The operation that
+   * tells when it is acknowledged. */
+  OperationId Depart(const std::string& at, const std::string& id);
+  /** Registers a target as draining at the gateway @p at. @return As above. */
+  OperationId Drain(const std::string& at, const TargetRegistration& target);
+  /** Runs until an operation of @p at completes, for at most 2 s.
+   * @return Its state; kUnknown after the 2 s. */
+  OperationState Await(const std::string& at, OperationId id) {
+    return WaitFor(Host(at), id).state_;
+  }
   /** The gateway @p at reports a crashed engine. */
   void ReportCrash(const std::string& at, const EngineCrash& crash);
   /** An answer to a prompt with @p parts begins at the gateway @p at. */
