Bound what all answers, bodies and connections hold together

Report of other operators: a faulty target sent bytes without end; the process that had called it ran out of memory, and the requests of other callers ended with it.

Cause: a bound for each of many and none for the sum. In addition a target whose answers begin and never end was not found, as calls that may not be repeated waited for their deadline and that outcome said nothing of the target.

Change: requests, callers' and control connections report the capacity of their buffers; beyond a fifth of gateway.memory_mb the one that holds most ends first, with a line memory-exceeded. The queue of a peer may hold a quarter of that. An answer of a call that does not end within twice its objective counts as a failure of its target.

--- a/src/state/event_type.h
+++ b/src/state/event_type.h
@@ -56,6 +56,7 @@
   kConfigurationAccepted = 604,
   kLeavingAcknowledged = 605,
   kLeavingNotConfirmed = 606,
+  kMemoryExceeded = 607,
   kForwardAdmitted = 610,
   kForwardRefused = 611,
   kForwardSent = 612,
--- a/src/state/ids_type.h
+++ b/src/state/ids_type.h
@@ -37,5 +37,6 @@
 using LeaseId = TypedId<struct LeaseTag>;  ///< One lease on streams or memory.
 using OperationId =
     TypedId<struct OperationTag>;  ///< Matches a reply to its request.
+using HolderId = TypedId<struct HolderTag>;  ///< Holds memory in one process.
 
 }  // namespace gv
--- a/src/state/table/events.h
+++ b/src/state/table/events.h
@@ -19,7 +19,7 @@
   std::string_view meaning_;  ///< For people.
 };
 
-inline constexpr std::array<EventRow, 76> kEvents{{
+inline constexpr std::array<EventRow, 77> kEvents{{
     {EventId::kProcessStarted, "process-started", EventLevel::kInfo,
      "A process started with its roles."},
     {EventId::kProcessStopping, "process-stopping", EventLevel::kInfo,
@@ -114,6 +114,9 @@
      EventLevel::kWarning,
      "Too few members answered that they know of a leaving; the target calls "
      "another gateway."},
+    {EventId::kMemoryExceeded, "memory-exceeded", EventLevel::kWarning,
+     "Requests and connections hold more than they may; the one that holds "
+     "most is ended."},
     {EventId::kForwardAdmitted, "forward-admitted", EventLevel::kDebug,
      "A gateway took a request in."},
     {EventId::kForwardRefused, "forward-refused", EventLevel::kInfo,
--- a/src/state/table/process_settings.h
+++ b/src/state/table/process_settings.h
@@ -183,6 +183,10 @@
                N::kNobody, R::kAny, 1024, kGigabyte, "bytes",
                "Longest event of a stream; a target that sends more has "
                "failed."},
+    ProcessKey{"gateway.memory_mb", &P::gateway_memory_mb_, "0", N::kNobody,
+               R::kAny, 0, 1 << 20, "MB",
+               "Memory that the process may use; 0 for that of the machine. A "
+               "fifth of it may hold requests and answers."},
     ProcessKey{"stop.announce_ms", &P::stop_announce_ms_, "3000", N::kNobody,
                R::kAny, 0, 600000, "ms",
                "An entry that stops serves on for so long while /readyz says "
--- a/src/transport/gateway/caller_connection.cc
+++ b/src/transport/gateway/caller_connection.cc
@@ -14,10 +14,20 @@
 
 /** Bytes of later requests that are read while one is in progress. */
 constexpr size_t kMostPipelined = 64UL << 10;
+/** Larger buffers are given back once they are empty. */
+constexpr size_t kMostKeptBuffer = 64UL << 10;
+constexpr const char* kRetryAfterMemory = "1";
+constexpr unsigned kUnavailable = 503;
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kTooLarge = 413;
 constexpr unsigned kHeaderTooLarge = 431;
 
+void Shrink(std::string& buffer) {
+  if (buffer.empty() && buffer.capacity() > kMostKeptBuffer) {
+    buffer.shrink_to_fit();
+  }
+}
+
 }  // namespace
 
 GatewayCaller::GatewayCaller(asio::ip::tcp::socket socket, GatewayBounds bounds,
@@ -58,9 +68,39 @@
   if (!busy_ && !close_after_) {
     Parse();
   }
+  NoteHeld();
   Read();
 }
 
+void GatewayCaller::NoteHeld() {
+  if (closed_) {
+    return;
+  }
+  Shrink(input_);
+  Shrink(output_);
+  Shrink(sending_);
+  hooks_.held_(input_.capacity() + output_.capacity() + sending_.capacity() +
+               (parser_ ? parser_->get().body().capacity() : 0));
+}
+
+void GatewayCaller::EndForMemory() {
+  if (closed_) {
+    return;
+  }
+  if (busy_ || Unsent() > 0) {
+    BreakOff();
+    return;
+  }
+  parser_.reset();
+  input_.clear();
+  WholeAnswer answer;
+  answer.status_ = kUnavailable;
+  answer.fields_.set(http::field::retry_after, kRetryAfterMemory);
+  busy_ = true;
+  Reply(answer, true);
+  NoteHeld();
+}
+
 void GatewayCaller::Parse() {
   while (!input_.empty() && !busy_ && !closed_) {
     if (!parser_) {
@@ -179,6 +219,7 @@
 void GatewayCaller::Send(std::string_view text) {
   output_ += text;
   Write();
+  NoteHeld();
 }
 
 void GatewayCaller::Write() {
@@ -201,6 +242,7 @@
       socket_, asio::buffer(sending_),
       [self = shared_from_this()](boost::system::error_code error, size_t) {
         self->sending_.clear();
+        self->NoteHeld();
         if (error) {
           self->Close();
           return;
--- a/src/transport/gateway/caller_connection.h
+++ b/src/transport/gateway/caller_connection.h
@@ -34,6 +34,8 @@
   std::function<void()> gone_;
   /** The connection is closed; called once. */
   std::function<void()> closed_;
+  /** The bytes that the connection holds have changed. */
+  std::function<void(size_t)> held_;
 };
 
 /**
@@ -57,6 +59,9 @@
   void EndParts();
   /** Closes the connection in the middle of an answer. */
   void BreakOff();
+  /** Gives back memory: refuses the request that is being read, or closes a
+   * connection whose caller does not take its answer. */
+  void EndForMemory();
   /** Closes the connection if no request is in progress. */
   void CloseIfIdle();
   /** Closes a connection that is idle, or slow with a header, for too long. */
@@ -77,6 +82,7 @@
   void OnRead(size_t bytes);
   void Parse();
   void Refuse(unsigned status);
+  void NoteHeld();
   void Send(std::string_view text);
   void Write();
   bool WriteNow();
--- a/src/transport/gateway/forward.cc
+++ b/src/transport/gateway/forward.cc
@@ -26,6 +26,9 @@
 constexpr Duration kUnknownDeadline = 5_s;
 /** Memory of a waiting request and its connection besides the body. */
 constexpr size_t kRequestOverheadBytes = 4096;
+/** Retry-After of a request that was refused for lack of memory; by then slow
+ * ones have ended. */
+constexpr Duration kRetryAfterMemory = 1_s;
 
 }  // namespace
 
@@ -34,12 +37,15 @@
     : gateway_(gateway),
       caller_(std::move(caller)),
       request_(std::move(request)),
+      memory_(gateway_.Memory(), HolderKind::kRequest,
+              [this]() { EndForMemory(); }),
       facts_(gateway_.Codec().read_caller_(request_.base())),
       parts_(Parts()),
       arrived_(gateway_.Now()),
       events_(facts_.last_event_) {}
 
 void Forward::Start() {
+  NoteMemory();
   if (gateway_.AcceptsRequests() && !CanAdmit()) {
     HoldOrRefuse();
     return;
@@ -71,6 +77,31 @@
   return request_.body().size() + kRequestOverheadBytes;
 }
 
+void Forward::NoteMemory() {
+  size_t bytes = request_.body().capacity() + events_.PartialEventBytes();
+  if (attempt_) {
+    // The connection holds the request as it is sent.
+    bytes += request_.body().size() + attempt_->body_.capacity() +
+             attempt_->unparsed_bytes_;
+  }
+  memory_.Set(bytes);
+}
+
+void Forward::EndForMemory() {
+  const auto self = shared_from_this();
+  constexpr const char* kReason = "too-much-memory";
+  if (ended_) {
+    return;
+  }
+  if (attempt_ && (attempt_->status_ != 0 || attempt_->unparsed_bytes_ > 0)) {
+    AbandonAttempt(kReason, HealthOutcome::kError);
+  } else if (may_have_run_ > 0) {
+    FailWith(kBadGateway, kReason);
+  } else {
+    Refuse(kUnavailable, kReason, kRetryAfterMemory);
+  }
+}
+
 void Forward::HoldOrRefuse() {
   const Route* route = FindRoute();
   Duration deadline = facts_.deadline_.value_or(kUnknownDeadline);
@@ -243,6 +274,7 @@
   }
   EndLeaderRequest();
   ReleaseTickets();
+  memory_.Set(0);
   gateway_.OnForwardEnded(*this);
 }
 
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -14,6 +14,7 @@
 #include "protocol/message.h"
 #include "state/event_type.h"
 #include "transport/gateway/caller_connection.h"
+#include "transport/gateway/memory_keeper.h"
 #include "transport/gateway/target_connection.h"
 
 namespace gv {
@@ -77,6 +78,8 @@
     bool is_streamed_ = false;
     bool has_event_ = false;  ///< An event of the answer has come.
     bool is_trial_ = false;  ///< Sent after the quarantine of one of its parts.
+    size_t unparsed_bytes_ = 0;  ///< Of the answer, at its connection.
+    bool is_overdue_ = false;    ///< Reported as an answer that does not end.
   };
 
   /** Permit of the leader for one request to a target with a limit. */
@@ -99,6 +102,8 @@
   void HoldOrRefuse();
   void StopWaitingForLease();
   size_t HeldBytes() const;
+  void NoteMemory();
+  void EndForMemory();
   bool Admit();
   bool Authenticate();
   void Refuse(unsigned status, const std::string& reason, Duration retry_after);
@@ -118,6 +123,7 @@
   std::string BuildRequest(const Placement& placement) const;
   std::vector<std::string> HelperList(const Placement& placement) const;
   ExchangeHandler MakeHandler();
+  void OnUnparsed(size_t bytes);
   void OnHead(unsigned status, const HttpFields& fields);
   void OnBody(const std::string& data);
   void OnWholeBody(const std::string& data);
@@ -167,7 +173,9 @@
   void PassWholeAnswer(const WholeAnswer& answer);
   void PassTargetFailure();
   HttpFields AnswerFields() const;
+  Duration CallTimeout() const;
   Duration ProgressTimeout() const;
+  void ReportIfOverdue(TimePoint now);
   void CheckProgress(TimePoint now);
 
   // forward_prompt.cc: placement of prompts by the leader.
@@ -185,6 +193,7 @@
   Gateway& gateway_;  ///< Gateway that received the request.
   std::shared_ptr<GatewayCaller> caller_;  ///< Connection that gets the answer.
   CallerRequestMessage request_;           ///< Request as received.
+  MemoryHolder memory_;                    ///< Counts what it holds.
   CallerFacts facts_;  ///< Facts from the header of the request.
   /** Shared parts of the prompt, and the one that stands for the request. */
   std::vector<PromptPartId> parts_;
--- a/src/transport/gateway/forward_answer.cc
+++ b/src/transport/gateway/forward_answer.cc
@@ -142,7 +142,7 @@
 
 Duration Forward::ProgressTimeout() const {
   if (route_.kind_ == RouteKind::kSafe) {
-    return std::max(route_.objective_ * kCallTimeoutObjectives, Duration(200));
+    return CallTimeout();
   }
   if (gateway_.Registry().Targets().IsUnreachable(attempt_->target_)) {
     return kUnreachableTargetTimeout;
@@ -157,6 +157,20 @@
          predicted;
 }
 
+void Forward::ReportIfOverdue(TimePoint now) {
+  const bool is_overdue = !attempt_->is_streamed_ && attempt_->status_ != 0 &&
+                          !IsPrompt() &&
+                          now - attempt_->sent_at_ > CallTimeout();
+  if (is_overdue && !std::exchange(attempt_->is_overdue_, true)) {
+    gateway_.OnOutcome(attempt_->target_, HealthOutcome::kError);
+  }
+}
+
+Duration Forward::CallTimeout() const {
+  constexpr Duration kMinCallTimeout = 200_ms;
+  return std::max(route_.objective_ * kCallTimeoutObjectives, kMinCallTimeout);
+}
+
 void Forward::CheckProgress(TimePoint now) {
   if (!attempt_) {
     return;
@@ -164,6 +178,7 @@
   if (caller_->Unsent() < kMaxUnsentBytes / kHalves) {
     attempt_->connection_->SetPaused(false);
   }
+  ReportIfOverdue(now);
   if (!attempt_->has_event_ && !attempt_->is_trial_ && IsQuarantined()) {
     // The engine drops the prompt with its connection, before it crashes.
     AbandonAttempt(kQuarantined, HealthOutcome::kUnknown);
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -244,7 +244,15 @@
         self->OnHead(status, fields);
       },
       [self](const std::string& data) { self->OnBody(data); },
-      [self](ExchangeEnd end) { self->OnExchangeEnd(end); }};
+      [self](ExchangeEnd end) { self->OnExchangeEnd(end); },
+      [self](size_t bytes) { self->OnUnparsed(bytes); }};
+}
+
+void Forward::OnUnparsed(size_t bytes) {
+  if (attempt_) {
+    attempt_->unparsed_bytes_ = bytes;
+    NoteMemory();
+  }
 }
 
 void Forward::OnHead(unsigned status, const HttpFields& fields) {
@@ -286,6 +294,7 @@
     OnWholeBody(data);
     return;
   }
+  NoteMemory();
   const uint64_t before = events_.Progress();
   PassEvents(data);
   if (ended_ || !attempt_) {
@@ -304,6 +313,7 @@
     AbandonAttempt("answer-too-long");
     return;
   }
+  NoteMemory();
   attempt_->bytes_since_progress_ += data.size();
   if (attempt_->bytes_since_progress_ >= kProgressBytes) {
     attempt_->bytes_since_progress_ = 0;
--- a/src/transport/gateway/forward_retry.cc
+++ b/src/transport/gateway/forward_retry.cc
@@ -15,6 +15,7 @@
   failed_ = FailedAttempt{end, reason};
   attempt_.reset();
   events_.DiscardPartialEvent();
+  NoteMemory();
   if (!MayRetry(History(), end)) {
     DoNotRetry("limits");
     return;
--- a/src/transport/gateway/gateway.cc
+++ b/src/transport/gateway/gateway.cc
@@ -1,6 +1,7 @@
 /** @file gateway.cc Start, tick and planned stop of a gateway. */
 #include "transport/gateway/gateway.h"
 
+#include <sys/sysinfo.h>
 #include <unistd.h>
 #include <xxhash.h>
 
@@ -34,6 +35,23 @@
 /** Before the exit, what is left gets a final answer and time to be sent. */
 constexpr Duration kFinalAnswers = 150_ms;
 constexpr int kExitStartFailed = 1;
+/** Part of the memory that requests, answers and connections may hold. The rest
+ * is for the program, its tables, the log and the system's socket buffers. */
+constexpr size_t kMemoryDivisor = 5;
+/** Part of what may be held that is for the queue of one peer. */
+constexpr size_t kPeerQueueDivisor = 4;
+constexpr size_t kMegabyte = 1UL << 20;
+
+/** @return Bytes that requests, answers and connections may hold together. */
+size_t MemoryLimit(const ProcessSettings& settings) {
+  const auto set = static_cast<size_t>(settings.gateway_memory_mb_);
+  struct sysinfo machine {};
+  if (set == 0 && ::sysinfo(&machine) == 0) {
+    return machine.totalram * machine.mem_unit / kMemoryDivisor;
+  }
+  constexpr size_t kUnknownMachine = 256;
+  return (set > 0 ? set : kUnknownMachine) * kMegabyte / kMemoryDivisor;
+}
 
 RegistrySettings MakeRegistrySettings(const ProcessSettings& settings) {
   RegistrySettings registry;
@@ -74,6 +92,8 @@
     : settings_(std::move(settings)),
       settings_file_(std::move(settings_file)),
       codec_(codec),
+      memory_(io_, MemoryLimit(settings_),
+              [this](const ExcessHolder& excess) { OnMemoryExcess(excess); }),
       io_(1),
       self_(settings_.listen_peers_),
       log_(log, settings_.node_),
@@ -85,15 +105,15 @@
       reopen_disk_(TimePoint::Never()),
       acceptor_(io_),
       readiness_(
-          io_,
+          io_, memory_,
           [this](const HttpRequest& request, const HttpService::Respond& done) {
             OnReadiness(request, done);
           }),
-      control_(io_,
+      control_(io_, memory_,
                [this](const HttpRequest& request, HttpService::Respond done) {
                  OnControl(request, std::move(done));
                }),
-      metrics_(io_,
+      metrics_(io_, memory_,
                [this](const HttpRequest& /*request*/,
                       const HttpService::Respond& done) {
                  done(MakeReply(200, "text/plain", MetricsText()));
@@ -120,7 +140,9 @@
 Result<void> Gateway::Open() {
   BOOST_OUTCOME_TRY(const auto key, ReadKeyFile(settings_.key_file_));
   peers_ = std::make_unique<PeerNetwork>(
-      io_, PeerIdentity{self_, settings_.cluster_, key},
+      io_,
+      PeerIdentity{self_, settings_.cluster_, key,
+                   MemoryLimit(settings_) / kPeerQueueDivisor},
       [this](Envelope envelope) { OnPeerEnvelope(std::move(envelope)); });
   if (!settings_.data_folder_.empty()) {
     const Result<void> opened = OpenDisk();
@@ -168,6 +190,12 @@
   callers_[id] = caller;
   auto current = std::make_shared<std::weak_ptr<Forward>>();
   std::weak_ptr<GatewayCaller> weak = caller;
+  auto holder =
+      std::make_shared<MemoryHolder>(memory_, HolderKind::kCaller, [weak]() {
+        if (const auto connection = weak.lock()) {
+          connection->EndForMemory();
+        }
+      });
   caller->Start(GatewayCallerHooks{
       [this, weak, current](CallerRequestMessage request) {
         auto connection = weak.lock();
@@ -183,7 +211,17 @@
           forward->OnCallerGone();
         }
       },
-      [this, id]() { callers_.erase(id); }});
+      [this, id]() { callers_.erase(id); },
+      [holder](size_t bytes) { holder->Set(bytes); }});
+}
+
+void Gateway::OnMemoryExcess(const ExcessHolder& excess) {
+  Record(EventId::kMemoryExceeded,
+         "holder=" + std::string(NameOf(kHolderKindNames, excess.kind_)) +
+             " id=" + std::to_string(excess.id_.Value()) +
+             " bytes=" + std::to_string(excess.bytes_) +
+             " all_bytes=" + std::to_string(excess.all_bytes_) +
+             " limit=" + std::to_string(MemoryLimit(settings_)));
 }
 
 void Gateway::OnForwardEnded(const Forward& forward) {
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -28,6 +28,7 @@
 #include "transport/gateway/forward.h"
 #include "transport/gateway/http_service.h"
 #include "transport/gateway/line_log.h"
+#include "transport/gateway/memory_keeper.h"
 #include "transport/gateway/target_pool.h"
 #include "transport/gateway/wire_codec.h"
 #include "transport/peer_network.h"
@@ -76,6 +77,8 @@
   size_t MaxEventBytes() const {
     return static_cast<size_t>(settings_.gateway_event_bytes_);
   }
+  /** @return Bounds what all requests and connections hold together. */
+  MemoryKeeper& Memory() { return memory_; }
   /** @return False once a planned stop leaves no time for new requests. */
   bool AcceptsRequests() const;
   /** @return When a planned stop ends what is left; Never without one. */
@@ -225,6 +228,8 @@
   bool IsReady() const;
   void NoteDependencies(TimePoint now);
 
+  void OnMemoryExcess(const ExcessHolder& excess);
+
   // gateway_registry.cc: the registry's messages, disk and configurations.
   void Step(const Envelope& in);
   void CarryOut(Outbox& out);
@@ -277,6 +282,7 @@
   ProcessSettings settings_;           ///< Of this process.
   std::string settings_file_;          ///< Read again on SIGHUP.
   const WireCodec& codec_;             ///< Of the surroundings.
+  MemoryKeeper memory_;                ///< Outlives what waits in io_.
   boost::asio::io_context io_;         ///< Runs everything.
   NodeId self_;                        ///< Address for peers.
   LineLog log_;                        ///< Standard output.
--- a/src/transport/gateway/gateway_calls.cc
+++ b/src/transport/gateway/gateway_calls.cc
@@ -177,6 +177,7 @@
   set("configuration",
       static_cast<double>(registry_.ServedConfiguration().Version()));
   set("lease", registry_.HasLease(Now()) ? 1 : 0);
+  set("held_bytes", static_cast<double>(memory_.Total()));
   set("log_lines_dropped", static_cast<double>(log_.Dropped()));
   return prometheus::TextSerializer().Serialize(metrics_registry_.Collect());
 }
--- a/src/transport/gateway/http_service.cc
+++ b/src/transport/gateway/http_service.cc
@@ -64,12 +64,20 @@
   auto token = asio::redirect_error(asio::use_awaitable, error);
   socket.set_option(asio::ip::tcp::no_delay(true), error);
   beast::flat_buffer buffer;
+  MemoryHolder holder(memory_, HolderKind::kControlRequest, [&socket]() {
+    boost::system::error_code ignored;
+    socket.close(ignored);
+  });
   while (true) {
     http::request_parser<http::string_body> parser;
     parser.body_limit(kMostBodyBytes);
-    co_await http::async_read(socket, buffer, parser, token);
-    if (error) {
-      co_return;
+    parser.eager(true);
+    while (!parser.is_done()) {
+      co_await http::async_read_some(socket, buffer, parser, token);
+      if (error) {
+        co_return;
+      }
+      holder.Set(buffer.capacity() + parser.get().body().capacity());
     }
     auto pending = std::make_shared<Pending>(socket.get_executor());
     pending->timer_.expires_at(asio::steady_timer::time_point::max());
--- a/src/transport/gateway/http_service.h
+++ b/src/transport/gateway/http_service.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "state/verdict_type.h"
+#include "transport/gateway/memory_keeper.h"
 #include "transport/http_reply.h"
 
 namespace gv {
@@ -23,8 +24,10 @@
   using Respond = std::function<void(HttpReply)>;
   using Handler = std::function<void(HttpRequest, Respond)>;
 
-  HttpService(boost::asio::io_context& io, Handler handler)
-      : io_(io), acceptor_(io), handler_(std::move(handler)) {}
+  /** @param memory Bounds what all connections hold; outlives the service. */
+  HttpService(boost::asio::io_context& io, MemoryKeeper& memory,
+              Handler handler)
+      : io_(io), memory_(memory), acceptor_(io), handler_(std::move(handler)) {}
 
   /** Listens on "IP:port". @return Nothing, or a verdict with the address. */
   Result<void> Listen(const std::string& address);
@@ -36,6 +39,7 @@
   boost::asio::awaitable<void> Serve(boost::asio::ip::tcp::socket socket);
 
   boost::asio::io_context& io_;              ///< Runs all connections.
+  MemoryKeeper& memory_;                     ///< Bounds their bodies.
   boost::asio::ip::tcp::acceptor acceptor_;  ///< Of the address.
   Handler handler_;                          ///< Answers requests.
 };
--- /dev/null
+++ b/src/transport/gateway/memory_keeper.h
@@ -0,0 +1,64 @@
+/** @file memory_keeper.h Ends connections and requests that hold too much
+ * memory. */
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+
+#include "coordination/gateway/held_memory.h"
+
+namespace gv {
+
+/** Keeps what all holders hold together below a limit. Thread safety: owned by
+ * one thread. */
+class MemoryKeeper {
+ public:
+  /** @param limit Bytes. @param on_excess Called before a holder is ended. */
+  MemoryKeeper(boost::asio::io_context& io, size_t limit,
+               std::function<void(const ExcessHolder&)> on_excess)
+      : io_(io), held_(limit), on_excess_(std::move(on_excess)) {}
+
+  /** @param end Gives memory back; called later, never within Set(). */
+  HolderId Add(HolderKind kind, std::function<void()> end);
+  /** Sets what a holder holds, in bytes. @pre It was added and not removed. */
+  void Set(HolderId id, size_t bytes);
+  /** Forgets a holder. */
+  void Remove(HolderId id);
+  /** @return Bytes of all holders. */
+  size_t Total() const { return held_.Total(); }
+
+ private:
+  void EndExcess();
+
+  boost::asio::io_context& io_;
+  HeldMemory held_;
+  std::function<void(const ExcessHolder&)> on_excess_;
+  std::map<HolderId, std::function<void()>> ends_;
+  bool ending_ = false;  ///< EndExcess() is about to run.
+};
+
+/** One holder, for as long as this object lives. Thread safety: as the keeper.
+ */
+class MemoryHolder {
+ public:
+  /** @param keeper Outlives the holder. @param end See MemoryKeeper::Add(). */
+  MemoryHolder(MemoryKeeper& keeper, HolderKind kind, std::function<void()> end)
+      : keeper_(keeper), id_(keeper.Add(kind, [this, end = std::move(end)]() {
+          bytes_ = 0;
+          end();
+        })) {}
+  ~MemoryHolder() { keeper_.Remove(id_); }
+  MemoryHolder(const MemoryHolder&) = delete;
+  MemoryHolder& operator=(const MemoryHolder&) = delete;
+
+  /** Sets what it holds, in bytes. Small differences are left out. */
+  void Set(size_t bytes);
+
+ private:
+  MemoryKeeper& keeper_;
+  HolderId id_;
+  size_t bytes_ = 0;  ///< As the keeper knows it.
+};
+
+}  // namespace gv
--- a/src/transport/gateway/target_connection.cc
+++ b/src/transport/gateway/target_connection.cc
@@ -143,9 +143,17 @@
   }
   input_.append(chunk_.data(), bytes);
   const auto self = shared_from_this();
-  if (Parse()) {
-    Read();
+  if (!Parse()) {
+    return;
+  }
+  if (input_.empty() && input_.capacity() > chunk_.size()) {
+    input_.shrink_to_fit();
+  }
+  if (handler_ && handler_->unparsed_) {
+    const auto unparsed = handler_->unparsed_;
+    unparsed(input_.capacity());
   }
+  Read();
 }
 
 bool TargetConnection::Parse() {
--- a/src/transport/gateway/target_connection.h
+++ b/src/transport/gateway/target_connection.h
@@ -34,6 +34,9 @@
   std::function<void(unsigned, const HttpFields&)> head_;  ///< Status, header.
   std::function<void(std::string)> body_;                  ///< A part of it.
   std::function<void(ExchangeEnd)> end_;                   ///< Called once.
+  /** Bytes that wait for more of the same header, chunk head or trailer; may be
+   * empty. */
+  std::function<void(size_t)> unparsed_ = nullptr;
 };
 
 /**
--- a/src/transport/peer_session.cc
+++ b/src/transport/peer_session.cc
@@ -29,7 +29,6 @@
 /** In the first byte of a frame's length: the payload is compressed. */
 constexpr unsigned char kPackedBit = 0x80;
 constexpr size_t kMaxHelloBytes = 4096;
-constexpr size_t kMaxQueuedBytes = 256UL << 20;
 constexpr size_t kEnvelopeOverheadBytes = 256;
 /** Length of a frame, before its payload. */
 constexpr size_t kHeadBytes = 4;
@@ -248,19 +247,19 @@
 }
 
 void PeerSession::Send(PeerItem item) {
-  asio::dispatch(socket_.get_executor(),
-                 [self = shared_from_this(), item = std::move(item)]() mutable {
-                   if (self->closed_) {
-                     return;
-                   }
-                   self->queued_bytes_ += EstimateBytes(item);
-                   self->queue_.push_back(std::move(item));
-                   if (self->queued_bytes_ > kMaxQueuedBytes) {
-                     self->CloseOnStrand();
-                     return;
-                   }
-                   self->StartWriting();
-                 });
+  asio::dispatch(socket_.get_executor(), [self = shared_from_this(),
+                                          item = std::move(item)]() mutable {
+    if (self->closed_) {
+      return;
+    }
+    self->queued_bytes_ += EstimateBytes(item);
+    self->queue_.push_back(std::move(item));
+    if (self->queued_bytes_ > self->identity_.most_queued_bytes_) {
+      self->CloseOnStrand();
+      return;
+    }
+    self->StartWriting();
+  });
 }
 
 void PeerSession::StartWriting() {
--- a/src/transport/peer_session.h
+++ b/src/transport/peer_session.h
@@ -17,9 +17,10 @@
 
 /** What both ends of a connection must know to trust each other. */
 struct PeerIdentity {
-  NodeId self_;          ///< This process.
-  std::string cluster_;  ///< Name of the system.
-  std::string key_;      ///< Shared key; never sent.
+  NodeId self_;                             ///< This process.
+  std::string cluster_;                     ///< Name of the system.
+  std::string key_;                         ///< Shared key; never sent.
+  size_t most_queued_bytes_ = 256UL << 20;  ///< Not yet sent, to each peer.
 };
 
 /** A message for a peer. */
