Soak: a target departs at a gateway that is killed right after it acknowledged

With each third seed the faults pause for five seconds, a target deregisters at a gateway without a disk, which is killed at once, and no undisturbed gateway may send it requests from two seconds later until its next start.

--- a/tests/soak/soak_ledger.cc
+++ b/tests/soak/soak_ledger.cc
@@ -10,7 +10,7 @@
 namespace gv {
 namespace {
 
-constexpr std::array<EnumName<Promise>, 12> kPromiseNames{{
+constexpr std::array<EnumName<Promise>, 13> kPromiseNames{{
     {Promise::kOwnWholeAnswer, "own-whole-answer"},
     {Promise::kNotRunIsTrue, "not-run-is-true"},
     {Promise::kOnceAtMost, "once-at-most"},
@@ -23,6 +23,7 @@
     {Promise::kRetryBudget, "retry-budget"},
     {Promise::kNoOwnEnd, "no-own-end"},
     {Promise::kTargetLimit, "target-limit"},
+    {Promise::kLeavingIsKnown, "leaving-is-known"},
 }};
 
 /** The defaults of the gateways' settings. */
--- a/tests/soak/soak_ledger.h
+++ b/tests/soak/soak_ledger.h
@@ -28,6 +28,7 @@
   kRetryBudget,      ///< Targets get no more retries than the limit allows.
   kNoOwnEnd,         ///< No process ends by itself.
   kTargetLimit,      ///< Targets get no more requests than the limit they name.
+  kLeavingIsKnown,   ///< A target that left gets no more requests.
 };
 
 /** Records of one soak. Thread safety: any thread. */
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -25,6 +25,13 @@
  * for so long. */
 constexpr Duration kRepair = 4_s;
 constexpr uint64_t kPercent = 100;
+/** Time after the acknowledgement of a departure from which a target gets no
+ * requests. */
+constexpr Duration kDrain = 2_s;
+/** Faults before it have ended by the departure. */
+constexpr Duration kCalmBefore = 5_s;
+/** From a departure until the target's next start. */
+constexpr Duration kAway = 4_s;
 
 /** @return An address on loopback that only this gateway of this seed uses. */
 std::string AddressOf(uint64_t seed, int index) {
@@ -82,7 +89,9 @@
   target.id_ = "i-" + service + std::to_string(index);
   target.service_ = service;
   target.target_ = std::make_unique<ScriptedTarget>(
-      [this, id = target.id_](const TargetRequest& request, TargetLine& line) {
+      [this, id = target.id_, life = target.life_.get()](
+          const TargetRequest& request, TargetLine& line) {
+        CheckLeft(*life, request.Header("Gooseberryvale-Attempt-Id"));
         Serve(id, request, line);
       });
   const std::string address = target.target_->Address();
@@ -154,15 +163,80 @@
   }
 }
 
+void SoakWorld::CheckLeft(const Life& life, const std::string& attempt) {
+  const int64_t left_ms = life.left_ms_;
+  const TimePoint now = SteadyNow();
+  if (left_ms == 0 || now - TimePoint(left_ms) <= kDrain) {
+    return;
+  }
+  // Gateways that are disturbed, or whose leader is, may learn it later.
+  const std::string port = attempt.substr(attempt.find('-') + 1);
+  const TimePoint since(left_ms);
+  const std::scoped_lock lock(mutex_);
+  const Member* sender = Find(static_cast<uint16_t>(std::stoi(port)));
+  const bool is_calm =
+      std::all_of(members_.begin(), members_.end(), [&](const Member& member) {
+        return (!member.process_->HasDisk() && &member != sender) ||
+               member.disturbed_ < since;
+      });
+  if (is_calm && targets_disturbed_ < since) {
+    ledger_.Break(Promise::kLeavingIsKnown,
+                  attempt + " came " + std::to_string((now - since).Ms()) +
+                      " ms after the departure");
+  }
+}
+
+std::string SoakWorld::PlanDeparture() {
+  // Some seeds only, as it takes most of their time.
+  constexpr uint64_t kSeedsOfOne = 3;
+  if (seed_ % kSeedsOfOne != 0) {
+    return "no departure";
+  }
+  departs_at_ = SteadyNow() + kCalmBefore;
+  calm_until_ = departs_at_ + kAway;
+  return "calm before a departure";
+}
+
+std::string SoakWorld::Depart() {
+  departs_at_ = TimePoint();
+  Target& target = targets_[random_() % targets_.size()];
+  // The loss of one without a disk leaves all others able to know.
+  std::vector<Member*> others;
+  for (Member& member : members_) {
+    if (!member.process_->HasDisk()) {
+      others.push_back(&member);
+    }
+  }
+  Member& member = *others[random_() % others.size()];
+  target.life_->is_leaving_ = true;
+  target.starts_anew_ = SteadyNow() + kAway;
+  const int status =
+      AskOnce(member.control_->Port(),
+              "DELETE /v1/instances/" + target.id_ +
+                  " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+              milliseconds(1000))
+          .status_;
+  if (status == 200) {
+    target.life_->left_ms_ = (SteadyNow() - TimePoint()).Ms();
+  }
+  member.process_->Kill();
+  Touch(member, kStart);
+  return target.id_ + " departs at " + member.process_->Name() + " " +
+         std::to_string(status) + ", which is killed";
+}
+
 void SoakWorld::Register() {
   for (const Target& target : targets_) {
+    if (target.life_->is_leaving_) {
+      continue;
+    }
     static std::atomic<uint64_t> sequence{0};
     const std::string body =
         R"({"service":")" + target.service_ + R"(","address":"127.0.0.1:)" +
         std::to_string(target.proxy_->Port()) +
         R"(","zone":"d1","version":"v1","slots":16,"state":"ready",)" +
-        R"("remainingMs":0,"born":1,"sequence":)" + std::to_string(++sequence) +
-        "}";
+        R"("remainingMs":0,"born":)" + std::to_string(target.life_->start_ms_) +
+        R"(,"sequence":)" + std::to_string(++sequence) + "}";
     const std::string request = "PUT /v1/instances/" + target.id_ +
                                 " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
                                 "Content-Length: " +
@@ -287,6 +361,12 @@
     disk_is_missing_ = false;
   }
   for (Target& target : targets_) {
+    if (target.starts_anew_ != TimePoint() && now >= target.starts_anew_) {
+      target.starts_anew_ = TimePoint();
+      target.life_->left_ms_ = 0;
+      target.life_->start_ms_ = WallMs();
+      target.life_->is_leaving_ = false;
+    }
     if (target.calm_ != TimePoint() && now >= target.calm_) {
       target.calm_ = TimePoint();
       target.proxy_->Set(LinkFault::kNone);
@@ -386,7 +466,7 @@
 }
 
 std::string SoakWorld::DisturbOnce() {
-  switch (random_() % 12) {
+  switch (random_() % 13) {
     case 0: {
       Member& member = AnyMember();
       Touch(member, Duration());
@@ -400,6 +480,8 @@
       return "odd entry";
     case 3:
       return NameLimit();
+    case 4:
+      return PlanDeparture();
     default:
       return random_() % 2 == 0 ? DisturbLink() : DisturbProcess(AnyMember());
   }
@@ -407,6 +489,13 @@
 
 std::string SoakWorld::Disturb() {
   Restart();
+  const TimePoint now = SteadyNow();
+  if (departs_at_ != TimePoint() && now >= departs_at_) {
+    return Depart();
+  }
+  if (now < calm_until_) {
+    return "calm";
+  }
   // Faults come in series and overlap.
   constexpr uint64_t kMostAtOnce = 3;
   std::string line = DisturbOnce();
@@ -425,6 +514,9 @@
   for (Target& target : targets_) {
     target.calm_ = TimePoint();
     target.proxy_->Set(LinkFault::kNone);
+    if (target.starts_anew_ != TimePoint()) {
+      target.starts_anew_ = SteadyNow();
+    }
   }
   refusing_until_ = TimePoint();
   Restart();
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -14,6 +14,7 @@
 #include "soak/fault_proxy.h"
 #include "soak/soak_ledger.h"
 #include "soak/soak_process.h"
+#include "transport/steady_clock.h"
 
 namespace gv {
 
@@ -63,6 +64,13 @@
     TimePoint unplanned_;  ///< The same, without planned stops and reloads.
     TimePoint wake_;       ///< When a stopped one goes on; or none.
   };
+  /** A start of a target. Thread safety: any thread. */
+  struct Life {
+    std::atomic<int64_t> start_ms_ = WallMs();  ///< Wall time.
+    std::atomic<bool> is_leaving_ = false;      ///< It registers no more.
+    /** When its departure was acknowledged, in ms; zero before. */
+    std::atomic<int64_t> left_ms_ = 0;
+  };
   /** A target, and the proxy in front of it. */
   struct Target {
     std::string id_;
@@ -70,12 +78,17 @@
     std::unique_ptr<ScriptedTarget> target_;
     std::unique_ptr<FaultProxy> proxy_;
     TimePoint calm_;  ///< When its link is mended.
+    std::unique_ptr<Life> life_ = std::make_unique<Life>();
+    TimePoint starts_anew_;  ///< After its departure; or none.
   };
 
   void AddTarget(const std::string& service, int index);
   void Serve(const std::string& id, const TargetRequest& request,
              TargetLine& line);
   void Register();
+  void CheckLeft(const Life& life, const std::string& attempt);
+  std::string PlanDeparture();
+  std::string Depart();
   void RegisterOddEntry();
   void Restart();
   void Touch(Member& member, Duration time, bool is_planned = false);
@@ -96,6 +109,8 @@
   bool disk_is_missing_ = false;  ///< A lost disk may not be replaced yet.
   TimePoint calm_since_;  ///< Members with a disk are left alone since then.
   std::vector<Target> targets_;
+  TimePoint departs_at_;  ///< When a target departs; or none.
+  TimePoint calm_until_;  ///< No faults before; for what calm gateways know.
   std::atomic<bool> refusing_ = false;  ///< Targets refuse most requests.
   TimePoint refusing_until_;
   /** Limit that the first target of each service names; zero for none. */
