--- a/src/transport/gateway/gateway.cc
+++ b/src/transport/gateway/gateway.cc
@@ -393,7 +393,8 @@
   Record(EventId::kProcessStarted,
          "roles=gateway self=" + self_.Value() +
              " disk=" + (disk_ ? "yes" : "no") +
-             " seeds=" + std::to_string(settings_.gateway_seeds_.size()));
+             " seeds=" + std::to_string(settings_.gateway_seeds_.size()) +
+             " memory_limit=" + std::to_string(MemoryLimit(settings_)));
   log_.Flush(Now());
   WaitForSignals();
   ScheduleTick();
