--- a/tests/platform/gateway_rig.cc
+++ b/tests/platform/gateway_rig.cc
@@ -194,6 +194,13 @@
   return socket;
 }
 
+tcp::socket GatewayRig::ConnectControl(asio::io_context& io) const {
+  tcp::socket socket(io);
+  socket.connect(
+      {asio::ip::make_address(ip_), static_cast<uint16_t>(first_port_ + 3)});
+  return socket;
+}
+
 std::string GatewayRig::Log() const {
   // Lines are handed on with each tick.
   std::this_thread::sleep_for(kTwoTicks);
--- a/tests/platform/gateway_rig.h
+++ b/tests/platform/gateway_rig.h
@@ -40,6 +40,9 @@
                       const std::string& body) const;
   /** @return An open connection to the callers' address. */
   boost::asio::ip::tcp::socket Connect(boost::asio::io_context& io) const;
+  /** @return An open connection to the control address. */
+  boost::asio::ip::tcp::socket ConnectControl(
+      boost::asio::io_context& io) const;
   /** @return All log lines so far. */
   std::string Log() const;
   Gateway& Get() { return *gateway_; }
--- a/tests/platform/memory_bound_test.cc
+++ b/tests/platform/memory_bound_test.cc
@@ -206,5 +206,32 @@
   CHECK(refused > 0);
 }
 
+TEST_CASE("memory bound: configurations that never end") {
+  ScriptedTarget shop([](const TargetRequest& request, TargetLine& line) {
+    line.Send(Answer(request, 200, kSigned));
+  });
+  GatewayRig rig(kConfiguration, nullptr, kSmallMemory);
+  rig.Register("i-1", "shop", shop.Address());
+  const std::string request =
+      "PUT /v1/configuration HTTP/1.1\r\nHost: x\r\n"
+      "Content-Length: 300000\r\n\r\n" +
+      std::string(200000, 'x');
+  asio::io_context io;
+  std::vector<asio::ip::tcp::socket> operators;
+  operators.reserve(kCallers);
+  for (size_t i = 0; i < kCallers; ++i) {
+    operators.push_back(rig.ConnectControl(io));
+    boost::system::error_code ignored;
+    asio::write(operators.back(), asio::buffer(request), ignored);
+  }
+  CHECK(Begins(rig.Control("GET", "/v1/configuration", ""), "HTTP/1.1 200"));
+  CHECK(Begins(rig.Ask(Request("/pay/x")), "HTTP/1.1 200"));
+  const std::string log = rig.Log();
+  CHECK(log.find("event=memory-exceeded holder=control-request") !=
+        std::string::npos);
+  CHECK(LargestIn(log, "event=memory-exceeded", "all_bytes=") <=
+        kLimit + kSlack);
+}
+
 }  // namespace
 }  // namespace gv
