End a handshake whose session was closed meanwhile

Cause: when a frozen process wakes, the time limit of a handshake and the rest of its bytes are due at once. The timer closed the session, then the handshake went on from the buffer and reported the closed session as ready; the network kept it, dropped all that was sent on it and never dialled again.

Ruled out by reading: crossing connections (each still delivers), a stuck dial (its timer clears it).

--- a/src/transport/peer_session.cc
+++ b/src/transport/peer_session.cc
@@ -171,6 +171,11 @@
   }
   socket_.set_option(asio::ip::tcp::no_delay(true));
   co_await Authenticate();
+  if (closed_) {
+    // The time limit ran out while the last bytes were read, as happens when a
+    // frozen process wakes; the network has been told already.
+    co_return;
+  }
   trusted_ = true;
   handshake_.cancel();
   callbacks_.ready_(shared_from_this());
--- a/tests/peer_network_test.cc
+++ b/tests/peer_network_test.cc
@@ -3,8 +3,12 @@
 #include "transport/peer_network.h"
 
 #include <doctest/doctest.h>
+#include <poll.h>
 
 #include <atomic>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <future>
 #include <thread>
 
@@ -88,5 +92,138 @@
   CHECK(std::holds_alternative<PeerDown>(dialler_got.get().body_));
 }
 
+/** Passes bytes on between a dialler and an acceptor. The first connection's
+ * bytes to the dialler are held until Release(). Thread safety: any thread. */
+class Relay {
+ public:
+  Relay(const std::string& address, uint16_t port, uint16_t to)
+      : to_(boost::asio::ip::make_address(address), to),
+        acceptor_(io_, {boost::asio::ip::make_address(address), port}),
+        thread_([this]() { Run(); }) {}
+  ~Relay() {
+    stop_ = true;
+    Release();
+    Socket wake(io_);
+    boost::system::error_code ignored;
+    wake.connect(acceptor_.local_endpoint(), ignored);
+    thread_.join();
+    for (std::thread& pump : pumps_) {
+      pump.join();
+    }
+  }
+  Relay(const Relay&) = delete;
+  Relay& operator=(const Relay&) = delete;
+
+  /** @return Ready once bytes for the dialler are held. */
+  std::future<void> Holding() { return holding_.get_future(); }
+  void Release() {
+    if (!released_.exchange(true)) {
+      release_.set_value();
+    }
+  }
+
+ private:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  void Run() {
+    const std::shared_future<void> release = release_.get_future().share();
+    bool is_first = true;
+    while (!stop_) {
+      auto near = std::make_shared<Socket>(io_);
+      auto far = std::make_shared<Socket>(io_);
+      boost::system::error_code error;
+      acceptor_.accept(*near, error);
+      if (error || stop_) {
+        return;
+      }
+      far->connect(to_, error);
+      pumps_.emplace_back([this, near, far]() { Pump(*near, *far); });
+      pumps_.emplace_back([this, near, far, is_first, release]() {
+        if (is_first) {
+          far->wait(Socket::wait_read);
+          holding_.set_value();
+          release.wait();
+        }
+        Pump(*far, *near);
+      });
+      is_first = false;
+    }
+  }
+
+  /** Passes bytes on until an end closes or the relay stops. */
+  void Pump(Socket& from, Socket& to) const {
+    constexpr int kCheckMs = 100;
+    std::array<char, 4096> bytes{};
+    boost::system::error_code error;
+    while (!error && !stop_) {
+      pollfd watched{from.native_handle(), POLLIN, 0};
+      if (poll(&watched, 1, kCheckMs) > 0) {
+        const size_t read = from.read_some(boost::asio::buffer(bytes), error);
+        boost::asio::write(to, boost::asio::buffer(bytes, read), error);
+      }
+    }
+  }
+
+  boost::asio::io_context io_;  ///< For blocking calls.
+  boost::asio::ip::tcp::endpoint to_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::promise<void> holding_;
+  std::promise<void> release_;
+  std::atomic<bool> released_ = false;
+  std::atomic<bool> stop_ = false;
+  std::vector<std::thread> pumps_;
+  std::thread thread_;
+};
+
+// A process that was frozen during a handshake found its time limit over and
+// the rest of the handshake in its buffers: it kept a closed session as the one
+// to use, and never reached that peer again.
+TEST_CASE("peer network: a handshake that ends after its time limit") {
+  constexpr std::chrono::milliseconds kFrozen{1800};
+  constexpr std::chrono::milliseconds kBytesPass{300};
+  Relay relay("127.0.0.1", 27394, 27393);
+  boost::asio::io_context frozen_io;
+  boost::asio::io_context io;
+  const PeerIdentity near{NodeId("a"), "cluster", kKey};
+  const PeerIdentity far{NodeId("b"), "cluster", kKey};
+  FirstMessage got;
+  PeerNetwork dialler(frozen_io, near, [](const Envelope&) {});
+  PeerNetwork acceptor(io, far,
+                       [&got](const Envelope& envelope) { got.Put(envelope); });
+  REQUIRE(acceptor.Listen("127.0.0.1:27393").has_value());
+  auto work = boost::asio::make_work_guard(frozen_io);
+  std::thread frozen([&frozen_io]() { frozen_io.run(); });
+  std::thread awake([&io]() { io.run(); });
+  auto received = got.promise_.get_future();
+  auto holding = relay.Holding();
+  dialler.SetAddress(NodeId("b"), "127.0.0.1:27394");
+  dialler.Send(From("a", "b", 1));
+  REQUIRE(holding.wait_for(kPatience) == std::future_status::ready);
+  std::promise<void> is_frozen;
+  boost::asio::post(frozen_io, [&is_frozen, kFrozen]() {
+    is_frozen.set_value();
+    std::this_thread::sleep_for(kFrozen);
+  });
+  is_frozen.get_future().wait();
+  // The peer's hello and proof wait for the dialler when it wakes.
+  std::this_thread::sleep_for(kBytesPass);
+  relay.Release();
+  std::this_thread::sleep_for(kFrozen);
+  bool arrived = false;
+  for (uint64_t round = 2; round < 30 && !arrived; ++round) {
+    dialler.Send(From("a", "b", round));
+    arrived = received.wait_for(std::chrono::milliseconds(100)) ==
+              std::future_status::ready;
+  }
+  CHECK(arrived);
+  dialler.Close();
+  acceptor.Close();
+  work.reset();
+  frozen_io.stop();
+  io.stop();
+  frozen.join();
+  awake.join();
+}
+
 }  // namespace
 }  // namespace gv
