Count failures that are kept for the caller, and let the policy end a request for memory

What callers could see: the failure of a first target, kept while a second one is tried, was not counted as held (up to 8 MiB for each request). A request that was ended for its memory in that state got a 502 of the gateway in place of the failure that was ready.

Cause: Forward::EndForMemory decided anew what DecideFinalStep decides, without the case of a kept failure, and NoteMemory left it out. Change: NoteMemory counts it; EndForMemory ends a request by FinishWithoutRetry like every other end.

--- a/src/coordination/gateway/held_memory.h
+++ b/src/coordination/gateway/held_memory.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 
+#include "state/clock_type.h"
 #include "state/enum_names.h"
 #include "state/ids_type.h"
 
@@ -20,6 +21,10 @@
   kControlRequest,  ///< A connection of a target or an operator.
 };
 
+/** When a caller that was refused for lack of memory comes back; by then slow
+ * peers have ended. */
+inline constexpr Duration kRetryAfterMemory = 1_s;
+
 /** Names of holders in log lines. */
 inline constexpr std::array<EnumName<HolderKind>, 3> kHolderKindNames{{
     {HolderKind::kRequest, "request"},
--- a/src/transport/gateway/forward.cc
+++ b/src/transport/gateway/forward.cc
@@ -26,9 +26,6 @@
 constexpr Duration kUnknownDeadline = 5_s;
 /** Memory of a waiting request and its connection besides the body. */
 constexpr size_t kRequestOverheadBytes = 4096;
-/** Retry-After of a request that was refused for lack of memory; by then slow
- * ones have ended. */
-constexpr Duration kRetryAfterMemory = 1_s;
 
 }  // namespace
 
@@ -84,6 +81,9 @@
     bytes += request_.body().size() + attempt_->body_.capacity() +
              attempt_->unparsed_bytes_;
   }
+  if (target_failure_) {
+    bytes += target_failure_->body_.capacity();
+  }
   memory_.Set(bytes);
 }
 
@@ -94,11 +94,9 @@
     return;
   }
   if (attempt_ && (attempt_->status_ != 0 || attempt_->unparsed_bytes_ > 0)) {
-    AbandonAttempt(kReason, HealthOutcome::kError);
-  } else if (may_have_run_ > 0) {
-    FailWith(kBadGateway, kReason);
+    AbandonAttempt(kTooMuchMemory, HealthOutcome::kError);
   } else {
-    Refuse(kUnavailable, kReason, kRetryAfterMemory);
+    FinishWithoutRetry(AttemptEnd{RunState::kNotRun, false}, kTooMuchMemory);
   }
 }
 
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -24,6 +24,8 @@
 /** Reason for refusing a prompt with a part that crashes engines, or a request
  * that crashes targets. */
 inline constexpr const char* kQuarantined = "request-crashes-targets";
+/** Reason for ending a request that holds too much memory. */
+inline constexpr const char* kTooMuchMemory = "too-much-memory";
 /** Reason for refusing what only targets with a limit could take. */
 inline constexpr const char* kTargetLimit = "target-limit";
 
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -425,6 +425,9 @@
   if (reason == kTargetLimit) {
     return limit_wait_.value_or(kRetryAfterNoTarget);
   }
+  if (reason == kTooMuchMemory) {
+    return kRetryAfterMemory;
+  }
   return reason == "no-target" ? kRetryAfterNoTarget : kRetryAfterFull;
 }
 
--- a/tests/platform/memory_bound_test.cc
+++ b/tests/platform/memory_bound_test.cc
@@ -167,6 +167,49 @@
   CHECK(failed <= at_bad);
 }
 
+// The failure of a first target, kept for the caller while a second one is
+// tried, was not counted.
+TEST_CASE("memory bound: failures that are kept count, and are delivered") {
+  constexpr size_t kFailureBytes = 400UL << 10;
+  constexpr size_t kHolders = 6;
+  std::atomic<size_t> asked = 0;
+  const auto script = [&asked](const TargetRequest& request, TargetLine& line) {
+    // The first attempt of each request fails, the second one hangs.
+    if (asked++ % 2 == 1) {
+      line.PeerClosesWithin(Milliseconds(4000));
+      return;
+    }
+    line.Send("HTTP/1.1 500 Failed\r\nGooseberryvale-Attempt-Id: " +
+              request.Header("Gooseberryvale-Attempt-Id") + "\r\n" + kSigned +
+              "Content-Length: " + std::to_string(kFailureBytes) + "\r\n\r\n" +
+              std::string(kFailureBytes, 'x'));
+  };
+  ScriptedTarget one(script);
+  ScriptedTarget two(script);
+  GatewayRig rig(kConfiguration, nullptr, kSmallMemory);
+  rig.Register("i-1", "shop", one.Address());
+  rig.Register("i-2", "shop", two.Address());
+  std::vector<std::string> answers(kHolders);
+  std::vector<std::thread> threads;
+  threads.reserve(kHolders);
+  for (std::string& answer : answers) {
+    threads.emplace_back(
+        [&rig, &answer]() { answer = rig.Ask(Request("/look/x")); });
+    // One after the other, so that each one's attempts are in order.
+    std::this_thread::sleep_for(Milliseconds(150));
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  for (const std::string& answer : answers) {
+    CHECK(Begins(answer, "HTTP/1.1 500"));
+  }
+  const std::string log = rig.Log();
+  CHECK(log.find("event=memory-exceeded holder=request") != std::string::npos);
+  CHECK(LargestIn(log, "event=memory-exceeded", "all_bytes=") <=
+        kLimit + kSlack);
+}
+
 TEST_CASE("memory bound: bodies of callers that never end") {
   ScriptedTarget shop([](const TargetRequest& request, TargetLine& line) {
     line.Send(Answer(request, 200, kSigned));
