One refusal, one Retry-After and one place that gives buffers back; no allocation for each read

GatewayCaller::Refuse serves the refusal for memory too; SetRetryAfter writes the header for both senders; ShrinkIfEmpty serves callers' and targets' connections. A target's connection copied a callback, and so allocated, at each read to report a number that seldom changes: it now reports a change only. The memory limit is asked of the machine once.

--- a/src/coordination/gateway/held_memory.h
+++ b/src/coordination/gateway/held_memory.h
@@ -67,6 +67,8 @@
   bool IsOver() const { return total_ > limit_; }
   /** @return Bytes of all holders. */
   size_t Total() const { return total_; }
+  /** @return Bytes that all may hold together. */
+  size_t Limit() const { return limit_; }
 
  private:
   /** One holder. */
--- a/src/transport/gateway/caller_connection.cc
+++ b/src/transport/gateway/caller_connection.cc
@@ -4,6 +4,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/status.hpp>
 
+#include "coordination/gateway/held_memory.h"
+#include "transport/gateway/memory_keeper.h"
 #include "transport/http_chunk.h"
 
 namespace gv {
@@ -14,22 +16,21 @@
 
 /** Bytes of later requests that are read while one is in progress. */
 constexpr size_t kMostPipelined = 64UL << 10;
-/** Larger buffers are given back once they are empty. */
-constexpr size_t kMostKeptBuffer = 64UL << 10;
-constexpr const char* kRetryAfterMemory = "1";
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kTooLarge = 413;
 constexpr unsigned kHeaderTooLarge = 431;
 
-void Shrink(std::string& buffer) {
-  if (buffer.empty() && buffer.capacity() > kMostKeptBuffer) {
-    buffer.shrink_to_fit();
-  }
-}
-
 }  // namespace
 
+void SetRetryAfter(Duration time, HttpFields& fields) {
+  constexpr double kMsPerSecond = 1000;
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.3f",
+                static_cast<double>(time.Ms()) / kMsPerSecond);
+  fields.set(http::field::retry_after, text);
+}
+
 GatewayCaller::GatewayCaller(asio::ip::tcp::socket socket, GatewayBounds bounds,
                              TimePoint now)
     : socket_(std::move(socket)),
@@ -76,9 +77,9 @@
   if (closed_) {
     return;
   }
-  Shrink(input_);
-  Shrink(output_);
-  Shrink(sending_);
+  ShrinkIfEmpty(input_);
+  ShrinkIfEmpty(output_);
+  ShrinkIfEmpty(sending_);
   hooks_.held_(input_.capacity() + output_.capacity() + sending_.capacity() +
                (parser_ ? parser_->get().body().capacity() : 0));
 }
@@ -93,12 +94,9 @@
   }
   parser_.reset();
   input_.clear();
-  WholeAnswer answer;
-  answer.status_ = kUnavailable;
-  answer.fields_.set(http::field::retry_after, kRetryAfterMemory);
-  busy_ = true;
-  Reply(answer, true);
-  NoteHeld();
+  HttpFields fields;
+  SetRetryAfter(kRetryAfterMemory, fields);
+  Refuse(kUnavailable, fields);
 }
 
 void GatewayCaller::Parse() {
@@ -139,9 +137,9 @@
   }
 }
 
-void GatewayCaller::Refuse(unsigned status) {
+void GatewayCaller::Refuse(unsigned status, const HttpFields& fields) {
   busy_ = true;
-  Reply(WholeAnswer{status, {}, ""}, true);
+  Reply(WholeAnswer{status, fields, ""}, true);
 }
 
 std::string GatewayCaller::Head(unsigned status,
--- a/src/transport/gateway/caller_connection.h
+++ b/src/transport/gateway/caller_connection.h
@@ -26,6 +26,9 @@
   std::string body_;     ///< All of it.
 };
 
+/** Sets Retry-After, in seconds with a fraction. Thread safety: pure. */
+void SetRetryAfter(Duration time, HttpFields& fields);
+
 /** What a connection needs from its owner. */
 struct GatewayCallerHooks {
   /** A whole request came; exactly one answer follows. */
@@ -81,7 +84,7 @@
   void Read();
   void OnRead(size_t bytes);
   void Parse();
-  void Refuse(unsigned status);
+  void Refuse(unsigned status, const HttpFields& fields = {});
   void NoteHeld();
   void Send(std::string_view text);
   void Write();
--- a/src/transport/gateway/forward.cc
+++ b/src/transport/gateway/forward.cc
@@ -89,7 +89,6 @@
 
 void Forward::EndForMemory() {
   const auto self = shared_from_this();
-  constexpr const char* kReason = "too-much-memory";
   if (ended_) {
     return;
   }
@@ -214,10 +213,7 @@
     const auto part = static_cast<int64_t>(hash % kParts);
     const Duration spread =
         retry_after + retry_after * part / static_cast<int64_t>(kParts);
-    char text[32];
-    std::snprintf(text, sizeof(text), "%.3f",
-                  static_cast<double>(spread.Ms()) / 1000);
-    answer.fields_.set(http::field::retry_after, text);
+    SetRetryAfter(spread, answer.fields_);
   }
   answer.body_ = VerdictBody(NotRun(Reason::kOverloaded, reason));
   Log(EventId::kForwardRefused,
--- a/src/transport/gateway/gateway.cc
+++ b/src/transport/gateway/gateway.cc
@@ -142,7 +142,7 @@
   peers_ = std::make_unique<PeerNetwork>(
       io_,
       PeerIdentity{self_, settings_.cluster_, key,
-                   MemoryLimit(settings_) / kPeerQueueDivisor},
+                   memory_.Limit() / kPeerQueueDivisor},
       [this](Envelope envelope) { OnPeerEnvelope(std::move(envelope)); });
   if (!settings_.data_folder_.empty()) {
     const Result<void> opened = OpenDisk();
@@ -221,7 +221,7 @@
              " id=" + std::to_string(excess.id_.Value()) +
              " bytes=" + std::to_string(excess.bytes_) +
              " all_bytes=" + std::to_string(excess.all_bytes_) +
-             " limit=" + std::to_string(MemoryLimit(settings_)));
+             " limit=" + std::to_string(memory_.Limit()));
 }
 
 void Gateway::OnForwardEnded(const Forward& forward) {
@@ -394,7 +394,7 @@
          "roles=gateway self=" + self_.Value() +
              " disk=" + (disk_ ? "yes" : "no") +
              " seeds=" + std::to_string(settings_.gateway_seeds_.size()) +
-             " memory_limit=" + std::to_string(MemoryLimit(settings_)));
+             " memory_limit=" + std::to_string(memory_.Limit()));
   log_.Flush(Now());
   WaitForSignals();
   ScheduleTick();
--- a/src/transport/gateway/memory_keeper.cc
+++ b/src/transport/gateway/memory_keeper.cc
@@ -8,9 +8,17 @@
 
 /** Differences in bytes that need not be exact. */
 constexpr size_t kGranularity = 16UL << 10;
+/** Larger buffers are given back once they are empty. */
+constexpr size_t kMostKeptBuffer = 64UL << 10;
 
 }  // namespace
 
+void ShrinkIfEmpty(std::string& buffer) {
+  if (buffer.empty() && buffer.capacity() > kMostKeptBuffer) {
+    buffer.shrink_to_fit();
+  }
+}
+
 HolderId MemoryKeeper::Add(HolderKind kind, std::function<void()> end) {
   const HolderId id = held_.Add(kind);
   ends_[id] = std::move(end);
--- a/src/transport/gateway/memory_keeper.h
+++ b/src/transport/gateway/memory_keeper.h
@@ -5,11 +5,16 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <map>
+#include <string>
 
 #include "coordination/gateway/held_memory.h"
 
 namespace gv {
 
+/** Gives the memory of an empty buffer back, unless it is small. Thread safety:
+ * that of @p buffer. */
+void ShrinkIfEmpty(std::string& buffer);
+
 /** Keeps what all holders hold together below a limit. Thread safety: owned by
  * one thread. */
 class MemoryKeeper {
@@ -27,6 +32,8 @@
   void Remove(HolderId id);
   /** @return Bytes of all holders. */
   size_t Total() const { return held_.Total(); }
+  /** @return Bytes that all may hold together. */
+  size_t Limit() const { return held_.Limit(); }
 
  private:
   void EndExcess();
--- a/src/transport/gateway/target_connection.cc
+++ b/src/transport/gateway/target_connection.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 
 #include "state/address_func.h"
+#include "transport/gateway/memory_keeper.h"
 
 namespace gv {
 namespace {
@@ -69,6 +70,7 @@
   request_ = std::move(request);
   is_head_ = is_head;
   interim_heads_ = 0;
+  unparsed_ = 0;
   ResetParser();
   if (closed_) {
     asio::post(socket_.get_executor(), [self = shared_from_this()]() {
@@ -146,16 +148,19 @@
   if (!Parse()) {
     return;
   }
-  if (input_.empty() && input_.capacity() > chunk_.size()) {
-    input_.shrink_to_fit();
-  }
-  if (handler_ && handler_->unparsed_) {
-    const auto unparsed = handler_->unparsed_;
-    unparsed(input_.capacity());
-  }
+  NoteUnparsed();
   Read();
 }
 
+void TargetConnection::NoteUnparsed() {
+  ShrinkIfEmpty(input_);
+  const size_t bytes = input_.empty() ? 0 : input_.capacity();
+  if (bytes != unparsed_ && handler_ && handler_->unparsed_) {
+    unparsed_ = bytes;
+    handler_->unparsed_(bytes);
+  }
+}
+
 bool TargetConnection::Parse() {
   while (!input_.empty()) {
     boost::system::error_code error;
--- a/src/transport/gateway/target_connection.h
+++ b/src/transport/gateway/target_connection.h
@@ -34,8 +34,8 @@
   std::function<void(unsigned, const HttpFields&)> head_;  ///< Status, header.
   std::function<void(std::string)> body_;                  ///< A part of it.
   std::function<void(ExchangeEnd)> end_;                   ///< Called once.
-  /** Bytes that wait for more of the same header, chunk head or trailer; may be
-   * empty. */
+  /** Bytes that wait for more of the same header, chunk head or trailer have
+   * changed. Does not end the exchange. May be empty. */
   std::function<void(size_t)> unparsed_ = nullptr;
 };
 
@@ -79,6 +79,7 @@
   void Write();
   void Read();
   void OnRead(size_t bytes);
+  void NoteUnparsed();
   void OnReadError(const boost::system::error_code& error);
   bool Parse();
   void ResetParser();
@@ -96,6 +97,7 @@
   std::optional<Parser> parser_;                      ///< Of the answer.
   std::string request_;                               ///< Being sent.
   std::string input_;                                 ///< Read, not yet parsed.
+  size_t unparsed_ = 0;                               ///< Of it, as reported.
   std::array<char, 8192> chunk_{};                    ///< Of one read.
   TimePoint opened_;          ///< Start of the connecting.
   uint64_t answered_ = 0;     ///< Complete exchanges.
