A leaving is confirmed by the calls that report it

Depart() and RegisterTarget() return the operation that tells when the target may be told, in place of a second call that each caller had to make, with its own check of the table beside the sockets. HeardLeader() serves both places that ask whether the leader is in touch. In the tests: one maker of registrations for two files, one way to call a core of the group, one body for the two cases of a lost gateway. No behaviour changes; all assertions stay.

--- a/src/coordination/gateway/registry_core.h
+++ b/src/coordination/gateway/registry_core.h
@@ -54,21 +54,25 @@
   std::vector<OperationResult> TakeCompletedOperations();
 
   /** Merges a registration that a target sent to this gateway, and queues it
-   * for the other gateways. */
-  void RegisterTarget(TimePoint now, const TargetRegistration& target,
-                      Outbox& out);
+   * for the other gateways.
+   * @return For a target that leaves, the operation whose result tells whether
+   * the target may be told; see Depart(). Otherwise nothing. */
+  std::optional<OperationId> RegisterTarget(TimePoint now,
+                                            const TargetRegistration& target,
+                                            Outbox& out);
   /** Marks a target as draining after it announced in an answer that it is
    * leaving. */
   void MarkLeaving(const TargetId& id, Outbox& out);
-  /** Marks a target as gone after it deregistered. @param wall_ms Wall time in
-   * milliseconds since 1970. */
-  void Depart(TimePoint now, const TargetId& id, uint64_t wall_ms, Outbox& out);
-  /** Makes sure that the other gateways get to know that a target is draining
-   * or gone, also if this one stops. The result is returned by
+  /**
+   * Marks a target as gone after it deregistered, and makes sure that the other
+   * gateways get to know, also if this one stops.
+   * @param wall_ms Wall time in milliseconds since 1970.
+   * @return The operation whose result is returned by
    * TakeCompletedOperations(): kAccepted once the leader, if it is in touch,
    * and a majority of the members know; only then may the target be told.
-   * @pre Targets() has a row of @p id. */
-  OperationId ConfirmLeaving(TimePoint now, const TargetId& id, Outbox& out);
+   */
+  OperationId Depart(TimePoint now, const TargetId& id, uint64_t wall_ms,
+                     Outbox& out);
 
   /** Tells all gateways of an engine that crashed while prompts of this gateway
    * had no answer yet. */
@@ -268,6 +272,7 @@
   void RecordGone(const TargetId& id, std::string detail, Outbox& out) const;
 
   // registry_leaving.cc: targets whose leaving is acknowledged.
+  OperationId ConfirmLeaving(TimePoint now, const TargetId& id, Outbox& out);
   void SendLeaving(TimePoint now, OperationId id, PendingLeaving& leaving,
                    Outbox& out);
   void OnLeavingNotice(TimePoint now, const Endpoint& from,
@@ -278,6 +283,7 @@
   bool IsLeavingKnown(TimePoint now, const PendingLeaving& leaving) const;
   void FinishLeaving(TimePoint now, OperationId id, OperationState state,
                      Outbox& out);
+  bool HeardLeader(TimePoint now) const;
   bool ForwardsChanges(TimePoint now) const;
   bool IsMember(const NodeId& node) const;
 
--- a/src/coordination/gateway/registry_leaving.cc
+++ b/src/coordination/gateway/registry_leaving.cc
@@ -42,12 +42,15 @@
   }
 }
 
+bool RegistryCore::HeardLeader(TimePoint now) const {
+  return !leader_.IsNone() && now - last_leader_grant_ <= kLeaderTimeout;
+}
+
 bool RegistryCore::ForwardsChanges(TimePoint now) const {
   // The leader forwards changes; other members do so only while the leader is
   // unreachable.
   return IsMember(settings_.self_) &&
-         (leader_ == settings_.self_ ||
-          now - last_leader_grant_ > kLeaderTimeout);
+         (leader_ == settings_.self_ || !HeardLeader(now));
 }
 
 void RegistryCore::OnLeavingNotice(TimePoint now, const Endpoint& from,
@@ -79,10 +82,8 @@
                                      return leaving.known_by_.contains(member);
                                    });
   // The leader tells all others. Without one, each member that knows does.
-  const bool has_leader =
-      !leader_.IsNone() && now - last_leader_grant_ <= kLeaderTimeout;
   return 2 * static_cast<size_t>(known) > members.size() &&
-         (!has_leader || leaving.known_by_.contains(leader_));
+         (!HeardLeader(now) || leaving.known_by_.contains(leader_));
 }
 
 void RegistryCore::TickLeaving(TimePoint now, Outbox& out) {
--- a/src/coordination/gateway/registry_targets.cc
+++ b/src/coordination/gateway/registry_targets.cc
@@ -7,30 +7,28 @@
 
 namespace gv {
 
-void RegistryCore::RegisterTarget(TimePoint now,
-                                  const TargetRegistration& target,
-                                  Outbox& out) {
-  switch (targets_.Merge(now, target)) {
-    case TargetDirectory::Change::kNone:
-      return;
-    case TargetDirectory::Change::kRefreshed:
-      refreshed_.insert(target.id_);
-      return;
-    case TargetDirectory::Change::kChanged: {
-      Event event;
-      event.id_ = target.state_ == RegistrationState::kReady
-                      ? EventId::kTargetAdmitted
-                      : EventId::kTargetDraining;
-      event.target_ = target.id_;
-      event.detail_ = "service=" + target.service_ +
-                      " address=" + target.address_ +
-                      " start=" + std::to_string(target.start_ms_) +
-                      " sequence=" + std::to_string(target.sequence_);
-      out.Record(std::move(event));
-      QueueChange(target.id_);
-      return;
-    }
-  }
+std::optional<OperationId> RegistryCore::RegisterTarget(
+    TimePoint now, const TargetRegistration& target, Outbox& out) {
+  const TargetDirectory::Change change = targets_.Merge(now, target);
+  if (change == TargetDirectory::Change::kRefreshed) {
+    refreshed_.insert(target.id_);
+  } else if (change == TargetDirectory::Change::kChanged) {
+    Event event;
+    event.id_ = target.state_ == RegistrationState::kReady
+                    ? EventId::kTargetAdmitted
+                    : EventId::kTargetDraining;
+    event.target_ = target.id_;
+    event.detail_ = "service=" + target.service_ +
+                    " address=" + target.address_ +
+                    " start=" + std::to_string(target.start_ms_) +
+                    " sequence=" + std::to_string(target.sequence_);
+    out.Record(std::move(event));
+    QueueChange(target.id_);
+  }
+  const bool is_leaving = target.state_ != RegistrationState::kReady &&
+                          targets_.Find(target.id_) != nullptr;
+  return is_leaving ? std::optional(ConfirmLeaving(now, target.id_, out))
+                    : std::nullopt;
 }
 
 void RegistryCore::MarkLeaving(const TargetId& id, Outbox& out) {
@@ -54,13 +52,13 @@
   out.Record(std::move(event));
 }
 
-void RegistryCore::Depart(TimePoint now, const TargetId& id, uint64_t wall_ms,
-                          Outbox& out) {
-  if (targets_.Depart(now, id, wall_ms) == nullptr) {
-    return;
+OperationId RegistryCore::Depart(TimePoint now, const TargetId& id,
+                                 uint64_t wall_ms, Outbox& out) {
+  if (targets_.Depart(now, id, wall_ms) != nullptr) {
+    RecordGone(id, "the target announced its departure", out);
+    QueueChange(id);
   }
-  RecordGone(id, "the target announced its departure", out);
-  QueueChange(id);
+  return ConfirmLeaving(now, id, out);
 }
 
 TargetGossip RegistryCore::MakeGossip(TimePoint now,
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -248,9 +248,9 @@
   void OnRegister(const std::string& id, const HttpRequest& request,
                   const HttpService::Respond& done);
   void OnDepart(const std::string& id, const HttpService::Respond& done);
-  /** Answers a target that leaves, once enough gateways know. */
-  void AnswerLeaving(const TargetId& id, const HttpService::Respond& done,
-                     Outbox& out);
+  /** Answers 200 once an operation is accepted, or 503. */
+  void AnswerWhenAccepted(OperationId operation,
+                          const HttpService::Respond& done);
   void OnPutConfiguration(const HttpRequest& request,
                           HttpService::Respond done);
   void OnGetConfiguration(HttpService::Respond done);
--- a/src/transport/gateway/gateway_calls.cc
+++ b/src/transport/gateway/gateway_calls.cc
@@ -77,24 +77,22 @@
     return;
   }
   Outbox out(Endpoint{self_, Port::kControl});
-  registry_.RegisterTarget(Now(), target.value(), out);
-  const bool is_leaving = target.value().state_ != RegistrationState::kReady &&
-                          registry_.Targets().Find(TargetId(id)) != nullptr;
-  if (is_leaving) {
-    AnswerLeaving(TargetId(id), done, out);
+  const std::optional<OperationId> leaving =
+      registry_.RegisterTarget(Now(), target.value(), out);
+  if (leaving) {
+    AnswerWhenAccepted(*leaving, done);
   }
   CarryOut(out);
-  if (!is_leaving) {
+  if (!leaving) {
     done(JsonReply(kOk, "{}"));
   }
 }
 
-void Gateway::AnswerLeaving(const TargetId& id,
-                            const HttpService::Respond& done, Outbox& out) {
-  const OperationId operation = registry_.ConfirmLeaving(Now(), id, out);
+void Gateway::AnswerWhenAccepted(OperationId operation,
+                                 const HttpService::Respond& done) {
   operations_[operation] = [done](const OperationResult& end) {
-    const bool known = end.state_ == OperationState::kAccepted;
-    done(JsonReply(known ? kOk : kUnavailable, "{}"));
+    const bool accepted = end.state_ == OperationState::kAccepted;
+    done(JsonReply(accepted ? kOk : kUnavailable, "{}"));
   };
 }
 
@@ -105,8 +103,9 @@
     return;
   }
   Outbox out(Endpoint{self_, Port::kControl});
-  registry_.Depart(Now(), TargetId(id), static_cast<uint64_t>(WallMs()), out);
-  AnswerLeaving(TargetId(id), done, out);
+  AnswerWhenAccepted(registry_.Depart(Now(), TargetId(id),
+                                      static_cast<uint64_t>(WallMs()), out),
+                     done);
   CarryOut(out);
 }
 
--- a/tests/registry_leaving_test.cc
+++ b/tests/registry_leaving_test.cc
@@ -14,14 +14,7 @@
 
 TargetRegistration Target(uint64_t start, uint64_t sequence,
                           RegistrationState state = RegistrationState::kReady) {
-  TargetRegistration target;
-  target.id_ = TargetId(kTarget);
-  target.service_ = "shop";
-  target.address_ = "10.0.0.1:80";
-  target.state_ = state;
-  target.start_ms_ = start;
-  target.sequence_ = sequence;
-  return target;
+  return MakeTarget(kTarget, start, sequence, state);
 }
 
 /** @return True if a running gateway other than @p except would send requests
@@ -36,9 +29,11 @@
   return false;
 }
 
-// The answer of the gateway was the only trace of the departure, and the other
-// gateways went on sending requests to the target.
-TEST_CASE("leaving: a departure is known to all though its gateway is killed") {
+/** A target leaves at each gateway in turn, which is lost right after it has
+ * acknowledged that. No other gateway may use it from kDrain on. */
+void CheckKnownAfterLoss(
+    const std::function<OperationId(RegistryGroup&, const std::string&)>& leave,
+    const std::function<void(RegistryGroup&, const std::string&)>& lose) {
   for (uint64_t seed = 1; seed <= 10; ++seed) {
     for (const char* at : {"d1", "d2", "d3", "e1", "e2"}) {
       CAPTURE(seed);
@@ -48,9 +43,8 @@
       group.Register(at, Target(1000, 1));
       group.Run(700_ms);
       const bool led = group.Leader() == at;
-      REQUIRE(group.Await(at, group.Depart(at, kTarget)) ==
-              OperationState::kAccepted);
-      group.Crash(at);
+      REQUIRE(group.Await(at, leave(group, at)) == OperationState::kAccepted);
+      lose(group, at);
       // While the leader is replaced nobody tells the others.
       group.Run(led ? kDrain + 3_s : kDrain);
       CHECK_FALSE(IsUsed(group, at));
@@ -58,25 +52,27 @@
   }
 }
 
+// The answer of the gateway was the only trace of the departure, and the other
+// gateways went on sending requests to the target.
+TEST_CASE("leaving: a departure is known to all though its gateway is killed") {
+  CheckKnownAfterLoss(
+      [](RegistryGroup& group, const std::string& at) {
+        return group.Depart(at, kTarget);
+      },
+      [](RegistryGroup& group, const std::string& at) { group.Crash(at); });
+}
+
 TEST_CASE("leaving: a draining is known to all though its gateway hangs") {
-  for (uint64_t seed = 1; seed <= 10; ++seed) {
-    for (const char* at : {"d1", "d2", "d3", "e1", "e2"}) {
-      CAPTURE(seed);
-      CAPTURE(at);
-      RegistryGroup group(3, 2, seed);
-      group.Run(5_s);
-      group.Register(at, Target(1000, 1));
-      group.Run(700_ms);
-      const bool led = group.Leader() == at;
-      REQUIRE(group.Await(
-                  at, group.Drain(
-                          at, Target(1000, 2, RegistrationState::kDraining))) ==
-              OperationState::kAccepted);
-      group.Isolate(at, true);
-      group.Run(led ? kDrain + 3_s : kDrain);
-      CHECK_FALSE(IsUsed(group, at));
-    }
-  }
+  CheckKnownAfterLoss(
+      [](RegistryGroup& group, const std::string& at) {
+        const auto leaving =
+            group.Register(at, Target(1000, 2, RegistrationState::kDraining));
+        REQUIRE(leaving);
+        return *leaving;
+      },
+      [](RegistryGroup& group, const std::string& at) {
+        group.Isolate(at, true);
+      });
 }
 
 TEST_CASE("leaving: it is acknowledged while another gateway is lost") {
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -16,19 +16,6 @@
 /** Time after a restart within which all gateways have a lease again. */
 constexpr Duration kRecovery = 12_s;
 
-TargetRegistration Target(const std::string& id, uint64_t start,
-                          uint64_t sequence,
-                          RegistrationState state = RegistrationState::kReady) {
-  TargetRegistration target;
-  target.id_ = TargetId(id);
-  target.service_ = "model";
-  target.address_ = "10.0.0.1:80";
-  target.state_ = state;
-  target.start_ms_ = start;
-  target.sequence_ = sequence;
-  return target;
-}
-
 TEST_CASE(
     "registry: all gateways serve a change within 2 s of its acknowledgement") {
   RegistryGroup group(3, 3, 1);
@@ -197,7 +184,7 @@
     "registry: all gateways know within 500 ms that a target is draining") {
   RegistryGroup group(3, 3, 8);
   group.Run(5_s);
-  group.Register("e1", Target("t1", 1000, 1));
+  group.Register("e1", MakeTarget("t1", 1000, 1));
   group.Run(500_ms);
   for (const auto& item : group.hosts_) {
     const std::string& name = item.first;
@@ -205,7 +192,7 @@
     const DirectoryEntry* entry = host.core_->Targets().Find(TargetId("t1"));
     REQUIRE_MESSAGE(entry != nullptr, name);
   }
-  group.Register("e2", Target("t1", 1000, 2, RegistrationState::kDraining));
+  group.Register("e2", MakeTarget("t1", 1000, 2, RegistrationState::kDraining));
   group.Run(500_ms);
   for (const auto& item : group.hosts_) {
     const RegistryHost& host = item.second;
@@ -216,11 +203,11 @@
   // gone; a registration of a later start does.
   group.Depart("e3", "t1");
   group.Run(500_ms);
-  group.Register("d1", Target("t1", 1000, 3));
+  group.Register("d1", MakeTarget("t1", 1000, 3));
   group.Run(1_s);
   CHECK(group.Core("e1").Targets().Find(TargetId("t1"))->target_.state_ ==
         RegistrationState::kGone);
-  group.Register("d1", Target("t1", 2000, 1));
+  group.Register("d1", MakeTarget("t1", 2000, 1));
   group.Run(500_ms);
   CHECK(group.Core("e1").Targets().Find(TargetId("t1"))->target_.state_ ==
         RegistrationState::kReady);
@@ -229,7 +216,7 @@
 TEST_CASE("registry: all gateways drop a target without heartbeats") {
   RegistryGroup group(3, 2, 9);
   group.Run(5_s);
-  group.Register("e1", Target("t1", 1000, 1));
+  group.Register("e1", MakeTarget("t1", 1000, 1));
   group.Run(15_s);
   for (const auto& item : group.hosts_) {
     const std::string& name = item.first;
@@ -242,7 +229,8 @@
   RegistryGroup group(3, 2, 11);
   group.Run(5_s);
   const auto target = [](int number, uint64_t sequence) {
-    TargetRegistration row = Target("t" + std::to_string(number), 1, sequence);
+    TargetRegistration row =
+        MakeTarget("t" + std::to_string(number), 1, sequence);
     row.address_ = "10.0.0.1:" + std::to_string(number);
     return row;
   };
@@ -284,7 +272,7 @@
 TEST_CASE("registry: all gateways know a target that announced its leaving") {
   RegistryGroup group(3, 2, 12);
   group.Run(5_s);
-  group.Register("e1", Target("t1", 1000, 1));
+  group.Register("e1", MakeTarget("t1", 1000, 1));
   group.Run(500_ms);
   Outbox out(Endpoint{NodeId("e2"), Port::kControl});
   group.Core("e2").MarkLeaving(TargetId("t1"), out);
@@ -295,9 +283,9 @@
                         item.first);
   }
   // It stays draining after later registrations and under a new leader.
-  group.Register("d1", Target("t1", 1000, 2));
+  group.Register("d1", MakeTarget("t1", 1000, 2));
   group.Crash(group.Leader());
-  group.Register("e1", Target("t1", 1000, 3));
+  group.Register("e1", MakeTarget("t1", 1000, 3));
   group.Run(4_s);
   CHECK_FALSE(group.Core("e1").Targets().IsReady(TargetId("t1")));
 }
@@ -307,7 +295,7 @@
     "running") {
   RegistryGroup group(3, 2, 10);
   group.Run(5_s);
-  group.Register("d1", Target("t1", 1000, 1));
+  group.Register("d1", MakeTarget("t1", 1000, 1));
   group.Run(1_s);
   for (const char* name : {"d2", "d3", "e1", "e2"}) {
     group.Crash(name);
--- a/tests/support/registry_group.cc
+++ b/tests/support/registry_group.cc
@@ -14,6 +14,18 @@
 
 }  // namespace
 
+TargetRegistration MakeTarget(const std::string& id, uint64_t start,
+                              uint64_t sequence, RegistrationState state) {
+  TargetRegistration target;
+  target.id_ = TargetId(id);
+  target.service_ = "model";
+  target.address_ = "10.0.0.1:80";
+  target.state_ = state;
+  target.start_ms_ = start;
+  target.sequence_ = sequence;
+  return target;
+}
+
 RegistryGroup::RegistryGroup(size_t with_disk, size_t without, uint64_t seed,
                              RetryBounds retries)
     : link_(seed), retries_(retries) {
@@ -169,22 +181,30 @@
   return OperationResult{id, OperationState::kUnknown, 0};
 }
 
-OperationState RegistryGroup::Change(const std::string& at, uint64_t version,
-                                     const std::string& text) {
+void RegistryGroup::Act(
+    const std::string& at,
+    const std::function<void(TimePoint, RegistryCore&, Outbox&)>& act) {
   RegistryHost& host = Host(at);
   Outbox out(Endpoint{host.node_, Port::kControl});
-  const OperationId id =
-      host.core_->SubmitChange(NowOf(host), version, text, out);
+  act(NowOf(host), *host.core_, out);
   CarryOut(host, out);
-  return WaitFor(host, id).state_;
+}
+
+OperationState RegistryGroup::Change(const std::string& at, uint64_t version,
+                                     const std::string& text) {
+  OperationId id;
+  Act(at, [&](TimePoint now, RegistryCore& core, Outbox& out) {
+    id = core.SubmitChange(now, version, text, out);
+  });
+  return WaitFor(Host(at), id).state_;
 }
 
 OperationResult RegistryGroup::Read(const std::string& at) {
-  RegistryHost& host = Host(at);
-  Outbox out(Endpoint{host.node_, Port::kControl});
-  const OperationId id = host.core_->ConfirmVersion(NowOf(host), out);
-  CarryOut(host, out);
-  return WaitFor(host, id);
+  OperationId id;
+  Act(at, [&](TimePoint now, RegistryCore& core, Outbox& out) {
+    id = core.ConfirmVersion(now, out);
+  });
+  return WaitFor(Host(at), id);
 }
 
 void RegistryGroup::Isolate(const std::string& name, bool isolated) {
@@ -217,69 +237,53 @@
   return true;
 }
 
-void RegistryGroup::Register(const std::string& at,
-                             const TargetRegistration& target) {
-  RegistryHost& host = Host(at);
-  Outbox out(Endpoint{host.node_, Port::kControl});
-  host.core_->RegisterTarget(NowOf(host), target, out);
-  CarryOut(host, out);
+std::optional<OperationId> RegistryGroup::Register(
+    const std::string& at, const TargetRegistration& target) {
+  std::optional<OperationId> leaving;
+  Act(at, [&](TimePoint now, RegistryCore& core, Outbox& out) {
+    leaving = core.RegisterTarget(now, target, out);
+  });
+  return leaving;
+}
+
+OperationId RegistryGroup::Depart(const std::string& at,
+                                  const std::string& id) {
+  OperationId operation;
+  Act(at, [&](TimePoint now, RegistryCore& core, Outbox& out) {
+    operation = core.Depart(now, TargetId(id), kWallMs, out);
+  });
+  return operation;
 }
 
 void RegistryGroup::ReportCrash(const std::string& at,
                                 const EngineCrash& crash) {
-  RegistryHost& host = Host(at);
-  Outbox out(Endpoint{host.node_, Port::kControl});
-  host.core_->ReportCrash(NowOf(host), crash, out);
-  CarryOut(host, out);
+  Act(at, [&](TimePoint now, RegistryCore& core, Outbox& out) {
+    core.ReportCrash(now, crash, out);
+  });
 }
 
 void RegistryGroup::BeginAnswer(const std::string& at,
                                 const std::string& service,
                                 const std::vector<PromptPartId>& parts) {
-  RegistryHost& host = Host(at);
-  Outbox out(Endpoint{host.node_, Port::kControl});
-  host.core_->OnAnswerBegun(NowOf(host), service, parts, out);
-  CarryOut(host, out);
+  Act(at, [&](TimePoint now, RegistryCore& core, Outbox& out) {
+    core.OnAnswerBegun(now, service, parts, out);
+  });
 }
 
 void RegistryGroup::AnswerLimit(const std::string& at, const TargetId& target,
                                 std::optional<double> per_second,
                                 TimePoint sent) {
-  RegistryHost& host = Host(at);
-  Outbox out(Endpoint{host.node_, Port::kControl});
-  host.core_->OnAnswerLimit(NowOf(host), target, per_second, sent, out);
-  CarryOut(host, out);
+  Act(at, [&](TimePoint now, RegistryCore& core, Outbox& out) {
+    core.OnAnswerLimit(now, target, per_second, sent, out);
+  });
 }
 
 void RegistryGroup::AskLeader(const std::string& at, const Message& ask) {
-  RegistryHost& host = Host(at);
-  if (host.core_ && !host.core_->Leader().IsNone()) {
-    Outbox out(Endpoint{host.node_, Port::kControl});
-    out.Send({host.core_->Leader(), Port::kControl}, ask);
-    CarryOut(host, out);
+  if (Host(at).core_ && !Core(at).Leader().IsNone()) {
+    Act(at, [&](TimePoint /*now*/, RegistryCore& core, Outbox& out) {
+      out.Send({core.Leader(), Port::kControl}, ask);
+    });
   }
 }
 
-OperationId RegistryGroup::Depart(const std::string& at,
-                                  const std::string& id) {
-  RegistryHost& host = Host(at);
-  Outbox out(Endpoint{host.node_, Port::kControl});
-  host.core_->Depart(NowOf(host), TargetId(id), kWallMs, out);
-  const OperationId operation =
-      host.core_->ConfirmLeaving(NowOf(host), TargetId(id), out);
-  CarryOut(host, out);
-  return operation;
-}
-
-OperationId RegistryGroup::Drain(const std::string& at,
-                                 const TargetRegistration& target) {
-  RegistryHost& host = Host(at);
-  Outbox out(Endpoint{host.node_, Port::kControl});
-  host.core_->RegisterTarget(NowOf(host), target, out);
-  const OperationId operation =
-      host.core_->ConfirmLeaving(NowOf(host), target.id_, out);
-  CarryOut(host, out);
-  return operation;
-}
-
 }  // namespace gv
--- a/tests/support/registry_group.h
+++ b/tests/support/registry_group.h
@@ -2,6 +2,7 @@
  * fake links, fake disks and a virtual clock. */
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -13,6 +14,11 @@
 
 namespace gv {
 
+/** @return A registration of a target at 10.0.0.1:80. Thread safety: pure. */
+TargetRegistration MakeTarget(
+    const std::string& id, uint64_t start, uint64_t sequence,
+    RegistrationState state = RegistrationState::kReady);
+
 /** One simulated gateway process and its disk. */
 struct RegistryHost {
   NodeId node_;                             ///< Id of the gateway.
@@ -74,13 +80,13 @@
   std::string Leader();
   /** @return True if all running gateways have a lease. */
   bool AllHaveLeases();
-  /** Delivers a registration of a target to the gateway @p at. */
-  void Register(const std::string& at, const TargetRegistration& target);
+  /** Delivers a registration of a target to the gateway @p at.
+   * @return If the target leaves, what tells when it is acknowledged. */
+  std::optional<OperationId> Register(const std::string& at,
+                                      const TargetRegistration& target);
   /** Deregisters a target at the gateway @p at. @return The operation that
    * tells when it is acknowledged. */
   OperationId Depart(const std::string& at, const std::string& id);
-  /** Registers a target as draining at the gateway @p at. @return As above. */
-  OperationId Drain(const std::string& at, const TargetRegistration& target);
   /** Runs until an operation of @p at completes, for at most 2 s.
    * @return Its state; kUnknown after the 2 s. */
   OperationState Await(const std::string& at, OperationId id) {
@@ -108,6 +114,9 @@
   TimePoint now_{100000};                      ///< Virtual clock.
 
  private:
+  /** Calls the core of @p at and carries out what it asks for. */
+  void Act(const std::string& at,
+           const std::function<void(TimePoint, RegistryCore&, Outbox&)>& act);
   void CarryOut(RegistryHost& host, Outbox& out);
   void Step(RegistryHost& host, const Envelope& in);
   OperationResult WaitFor(RegistryHost& host, OperationId id);
