One form for late entries of a table: TakeIf gives keys too and serves the asks for limits

TickLimitAsks had its own loop over late keys. FinishOrder has one caller since late orders no longer pass through it, so it takes the end of the exchange and looks the order up once. No behaviour changes.

--- a/src/state/container_func.h
+++ b/src/state/container_func.h
@@ -2,28 +2,25 @@
  * table. */
 #pragma once
 
-#include <iterator>
 #include <utility>
 #include <vector>
 
 namespace gv {
 
 /**
- * Removes the entries of a map whose values meet a condition.
- * @return Their values, in the order of the map. The caller may then run
- * callbacks that change the map. Thread safety: that of @p map.
+ * Takes the entries out of a map whose values meet a condition.
+ * @return Them, in the order of the map. The caller may then run callbacks that
+ * change the map. Thread safety: that of @p map.
  */
 template <typename Map, typename Condition>
-std::vector<typename Map::mapped_type> TakeIf(Map& map,
-                                              const Condition& condition) {
-  std::vector<typename Map::mapped_type> taken;
+std::vector<typename Map::node_type> TakeIf(Map& map,
+                                            const Condition& condition) {
+  std::vector<typename Map::node_type> taken;
   for (auto it = map.begin(); it != map.end();) {
-    const auto next = std::next(it);
-    if (condition(std::as_const(it->second))) {
-      taken.push_back(std::move(it->second));
-      map.erase(it);
+    const auto current = it++;
+    if (condition(std::as_const(current->second))) {
+      taken.push_back(map.extract(current));
     }
-    it = next;
   }
   return taken;
 }
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -275,7 +275,7 @@
   void TickLimitAsks(TimePoint now);
 
   // gateway_orders.cc: orders to targets.
-  void FinishOrder(uint64_t id);
+  void FinishOrder(uint64_t id, ExchangeEnd end);
   void SendRelease(TimePoint now, uint64_t id);
   void TickOrders(TimePoint now);
 
--- a/src/transport/gateway/gateway_limits.cc
+++ b/src/transport/gateway/gateway_limits.cc
@@ -1,5 +1,6 @@
 /** @file gateway_limits.cc Permits for requests to targets that name a limit.
  */
+#include "state/container_func.h"
 #include "transport/gateway/gateway.h"
 
 namespace gv {
@@ -69,23 +70,14 @@
 }
 
 void Gateway::TickLimitAsks(TimePoint now) {
-  std::vector<OperationId> late;
-  for (const auto& [operation, ask] : limit_asks_) {
-    if (now >= ask.until_) {
-      late.push_back(operation);
-    }
-  }
-  for (const OperationId operation : late) {
-    const auto found = limit_asks_.find(operation);
-    if (found == limit_asks_.end()) {
-      continue;
-    }
-    const auto done = std::move(found->second.done_);
-    limit_asks_.erase(found);
+  const auto is_late = [now](const OpenLimitAsk& ask) {
+    return now >= ask.until_;
+  };
+  for (const auto& late : TakeIf(limit_asks_, is_late)) {
     LimitReply refused;
-    refused.operation_ = operation;
+    refused.operation_ = late.key();
     refused.wait_ = kWaitAfterSilence;
-    done(refused);
+    late.mapped().done_(refused);
   }
 }
 
--- a/src/transport/gateway/gateway_orders.cc
+++ b/src/transport/gateway/gateway_orders.cc
@@ -39,24 +39,18 @@
                         }
                       },
                       [](const std::string& /*data*/) {},
-                      [this, id](ExchangeEnd end) {
-                        const auto found = orders_.find(id);
-                        if (found == orders_.end()) {
-                          return;
-                        }
-                        if (end != ExchangeEnd::kComplete) {
-                          found->second.status_ = 0;
-                        }
-                        FinishOrder(id);
-                      }});
+                      [this, id](ExchangeEnd end) { FinishOrder(id, end); }});
 }
 
-void Gateway::FinishOrder(uint64_t id) {
+void Gateway::FinishOrder(uint64_t id, ExchangeEnd end) {
   const auto found = orders_.find(id);
+  if (found == orders_.end()) {
+    return;
+  }
   const OpenOrder order = std::move(found->second);
   orders_.erase(found);
   pool_.Release(Now(), order.connection_, order.keep_alive_);
-  order.done_(order.status_);
+  order.done_(end == ExchangeEnd::kComplete ? order.status_ : 0);
 }
 
 void Gateway::RenewTicket(const TargetId& target, const std::string& address,
@@ -109,11 +103,12 @@
 void Gateway::TickOrders(TimePoint now) {
   // All late orders are taken out before the first callback, which may send,
   // finish and release other orders.
-  std::vector<OpenOrder> late = TakeIf(
-      orders_, [now](const OpenOrder& order) { return now >= order.until_; });
-  for (const OpenOrder& order : late) {
-    order.connection_->Cancel();
-    order.done_(0);
+  const auto is_late = [now](const OpenOrder& order) {
+    return now >= order.until_;
+  };
+  for (const auto& late : TakeIf(orders_, is_late)) {
+    late.mapped().connection_->Cancel();
+    late.mapped().done_(0);
   }
   for (const uint64_t id : KeysOf(releases_)) {
     SendRelease(now, id);
