--- a/src/transport/gateway/gateway.cc
+++ b/src/transport/gateway/gateway.cc
@@ -140,10 +140,9 @@
 Result<void> Gateway::Open() {
   BOOST_OUTCOME_TRY(const auto key, ReadKeyFile(settings_.key_file_));
   peers_ = std::make_unique<PeerNetwork>(
-      io_,
-      PeerIdentity{self_, settings_.cluster_, key,
-                   memory_.Limit() / kPeerQueueDivisor},
-      [this](Envelope envelope) { OnPeerEnvelope(std::move(envelope)); });
+      io_, PeerIdentity{self_, settings_.cluster_, key},
+      [this](Envelope envelope) { OnPeerEnvelope(std::move(envelope)); },
+      memory_.Limit() / kPeerQueueDivisor);
   if (!settings_.data_folder_.empty()) {
     const Result<void> opened = OpenDisk();
     if (!opened.has_value()) {
--- a/src/transport/peer_network.cc
+++ b/src/transport/peer_network.cc
@@ -19,10 +19,12 @@
 }  // namespace
 
 PeerNetwork::PeerNetwork(asio::io_context& traffic, PeerIdentity identity,
-                         std::function<void(Envelope)> deliver)
+                         std::function<void(Envelope)> deliver,
+                         size_t most_queued_bytes)
     : traffic_(traffic),
       identity_(std::move(identity)),
       deliver_(std::move(deliver)),
+      most_queued_bytes_(most_queued_bytes),
       acceptor_(traffic) {}
 
 Result<void> PeerNetwork::Listen(const std::string& address) {
@@ -40,7 +42,7 @@
         }
         if (!error) {
           std::make_shared<PeerSession>(std::move(socket), identity_,
-                                        MakeCallbacks())
+                                        most_queued_bytes_, MakeCallbacks())
               ->StartAccepted();
         }
         Accept();
@@ -110,8 +112,8 @@
 
 void PeerNetwork::Dial(const NodeId& node, Peer& peer) {
   asio::ip::tcp::socket socket(asio::make_strand(traffic_));
-  peer.dialling_ = std::make_shared<PeerSession>(std::move(socket), identity_,
-                                                 MakeCallbacks());
+  peer.dialling_ = std::make_shared<PeerSession>(
+      std::move(socket), identity_, most_queued_bytes_, MakeCallbacks());
   peer.dialling_->StartDialled(peer.address_, node);
 }
 
--- a/src/transport/peer_network.h
+++ b/src/transport/peer_network.h
@@ -16,6 +16,9 @@
 
 namespace gv {
 
+/** Bytes that may be queued for one peer, where memory is not scarce. */
+inline constexpr size_t kMostQueuedBytes = 256UL << 20;
+
 /**
  * Sends envelopes to peers by name. Messages may be lost when a connection
  * breaks; that is reported by a PeerDown. A peer whose address is unknown gets
@@ -24,9 +27,11 @@
  */
 class PeerNetwork {
  public:
-  /** @param deliver Called on traffic threads with each message from a peer. */
+  /** @param deliver Called on traffic threads with each message from a peer.
+   * @param most_queued_bytes Bound of what is not yet sent to one peer. */
   PeerNetwork(boost::asio::io_context& traffic, PeerIdentity identity,
-              std::function<void(Envelope)> deliver);
+              std::function<void(Envelope)> deliver,
+              size_t most_queued_bytes = kMostQueuedBytes);
 
   /** Listens on "IP:port". @return Nothing, or Reason::kConnectionLost with the
    * address. */
@@ -66,6 +71,7 @@
   boost::asio::io_context& traffic_;         ///< Runs all connections.
   PeerIdentity identity_;                    ///< This process.
   std::function<void(Envelope)> deliver_;    ///< To the runtime.
+  size_t most_queued_bytes_;                 ///< For one peer.
   boost::asio::ip::tcp::acceptor acceptor_;  ///< For incoming connections.
   std::mutex mutex_;                         ///< Guards the members below.
   std::map<NodeId, Peer> peers_;             ///< By name.
--- a/src/transport/peer_session.cc
+++ b/src/transport/peer_session.cc
@@ -126,10 +126,11 @@
 }
 
 PeerSession::PeerSession(asio::ip::tcp::socket socket, PeerIdentity identity,
-                         Callbacks callbacks)
+                         size_t most_queued_bytes, Callbacks callbacks)
     : socket_(std::move(socket)),
       handshake_(socket_.get_executor()),
       identity_(std::move(identity)),
+      most_queued_bytes_(most_queued_bytes),
       callbacks_(std::move(callbacks)),
       heard_at_(SteadyNow()) {}
 
@@ -252,19 +253,19 @@
 }
 
 void PeerSession::Send(PeerItem item) {
-  asio::dispatch(socket_.get_executor(), [self = shared_from_this(),
-                                          item = std::move(item)]() mutable {
-    if (self->closed_) {
-      return;
-    }
-    self->queued_bytes_ += EstimateBytes(item);
-    self->queue_.push_back(std::move(item));
-    if (self->queued_bytes_ > self->identity_.most_queued_bytes_) {
-      self->CloseOnStrand();
-      return;
-    }
-    self->StartWriting();
-  });
+  asio::dispatch(socket_.get_executor(),
+                 [self = shared_from_this(), item = std::move(item)]() mutable {
+                   if (self->closed_) {
+                     return;
+                   }
+                   self->queued_bytes_ += EstimateBytes(item);
+                   self->queue_.push_back(std::move(item));
+                   if (self->queued_bytes_ > self->most_queued_bytes_) {
+                     self->CloseOnStrand();
+                     return;
+                   }
+                   self->StartWriting();
+                 });
 }
 
 void PeerSession::StartWriting() {
--- a/src/transport/peer_session.h
+++ b/src/transport/peer_session.h
@@ -17,10 +17,9 @@
 
 /** What both ends of a connection must know to trust each other. */
 struct PeerIdentity {
-  NodeId self_;                             ///< This process.
-  std::string cluster_;                     ///< Name of the system.
-  std::string key_;                         ///< Shared key; never sent.
-  size_t most_queued_bytes_ = 256UL << 20;  ///< Not yet sent, to each peer.
+  NodeId self_;          ///< This process.
+  std::string cluster_;  ///< Name of the system.
+  std::string key_;      ///< Shared key; never sent.
 };
 
 /** A message for a peer. */
@@ -50,9 +49,10 @@
         closed_;  ///< Called once, at the end.
   };
 
-  /** @param socket A socket whose executor is a strand. */
+  /** @param socket A socket whose executor is a strand.
+   * @param most_queued_bytes Bound of what is not yet sent. */
   PeerSession(boost::asio::ip::tcp::socket socket, PeerIdentity identity,
-              Callbacks callbacks);
+              size_t most_queued_bytes, Callbacks callbacks);
 
   /** Accepts a connection that the peer opened. */
   void StartAccepted();
@@ -87,14 +87,15 @@
 
   boost::asio::ip::tcp::socket socket_;  ///< The connection.
   boost::asio::steady_timer
-      handshake_;          ///< Bounds connecting and the handshake.
-  PeerIdentity identity_;  ///< This process.
-  Callbacks callbacks_;    ///< To the network.
-  NodeId peer_;            ///< Proven peer; while dialling the expected one.
-  bool dialled_ = false;   ///< True if this end connected.
-  bool trusted_ = false;   ///< True after the handshake.
-  bool writing_ = false;   ///< True while WriteLoop runs.
-  bool closed_ = false;    ///< True once closed_ was called.
+      handshake_;             ///< Bounds connecting and the handshake.
+  PeerIdentity identity_;     ///< This process.
+  size_t most_queued_bytes_;  ///< Bound of queued_bytes_.
+  Callbacks callbacks_;       ///< To the network.
+  NodeId peer_;               ///< Proven peer; while dialling the expected one.
+  bool dialled_ = false;      ///< True if this end connected.
+  bool trusted_ = false;      ///< True after the handshake.
+  bool writing_ = false;      ///< True while WriteLoop runs.
+  bool closed_ = false;       ///< True once closed_ was called.
   std::deque<PeerItem> queue_;  ///< Not yet written.
   std::string input_;           ///< Read, not yet taken as frames.
   size_t queued_bytes_ = 0;     ///< Estimated size of queue_.
