--- a/tests/platform/gateway_rig.cc
+++ b/tests/platform/gateway_rig.cc
@@ -187,17 +187,10 @@
                       std::to_string(body.size()) + "\r\n\r\n" + body);
 }
 
-tcp::socket GatewayRig::Connect(asio::io_context& io) const {
+tcp::socket GatewayRig::ConnectTo(int index, asio::io_context& io) const {
   tcp::socket socket(io);
-  socket.connect(
-      {asio::ip::make_address(ip_), static_cast<uint16_t>(first_port_ + 1)});
-  return socket;
-}
-
-tcp::socket GatewayRig::ConnectControl(asio::io_context& io) const {
-  tcp::socket socket(io);
-  socket.connect(
-      {asio::ip::make_address(ip_), static_cast<uint16_t>(first_port_ + 3)});
+  socket.connect({asio::ip::make_address(ip_),
+                  static_cast<uint16_t>(first_port_ + index)});
   return socket;
 }
 
--- a/tests/platform/gateway_rig.h
+++ b/tests/platform/gateway_rig.h
@@ -39,10 +39,14 @@
   std::string Control(const std::string& method, const std::string& path,
                       const std::string& body) const;
   /** @return An open connection to the callers' address. */
-  boost::asio::ip::tcp::socket Connect(boost::asio::io_context& io) const;
+  boost::asio::ip::tcp::socket Connect(boost::asio::io_context& io) const {
+    return ConnectTo(1, io);
+  }
   /** @return An open connection to the control address. */
   boost::asio::ip::tcp::socket ConnectControl(
-      boost::asio::io_context& io) const;
+      boost::asio::io_context& io) const {
+    return ConnectTo(3, io);
+  }
   /** @return All log lines so far. */
   std::string Log() const;
   Gateway& Get() { return *gateway_; }
@@ -56,6 +60,9 @@
   void Start(const std::string& more, const WireCodec& codec);
   /** Waits until the gateway has a configuration and a lease. */
   void AwaitReady() const;
+  /** @return An open connection to one of the four ports. */
+  boost::asio::ip::tcp::socket ConnectTo(int index,
+                                         boost::asio::io_context& io) const;
   /** @return "IP:port" of one of the four ports, quoted. */
   std::string At(int index) const;
 
--- a/tests/platform/memory_bound_test.cc
+++ b/tests/platform/memory_bound_test.cc
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <functional>
 #include <memory>
 
 #include "platform/gateway_rig.h"
@@ -52,6 +53,21 @@
   return largest;
 }
 
+/** Sends the same bytes on kCallers connections. @return The connections, which
+ * stay open. */
+std::vector<asio::ip::tcp::socket> SendToAll(
+    const std::string& bytes,
+    const std::function<asio::ip::tcp::socket()>& connect) {
+  std::vector<asio::ip::tcp::socket> sockets;
+  sockets.reserve(kCallers);
+  for (size_t i = 0; i < kCallers; ++i) {
+    sockets.push_back(connect());
+    boost::system::error_code ignored;
+    asio::write(sockets.back(), asio::buffer(bytes), ignored);
+  }
+  return sockets;
+}
+
 /** Sends requests at the same time. @return Their answers. */
 std::vector<std::string> AskAtOnce(const GatewayRig& rig,
                                    const std::string& request, size_t callers) {
@@ -224,13 +240,8 @@
       "Content-Length: 65536\r\n\r\n" +
       body;
   asio::io_context io;
-  std::vector<asio::ip::tcp::socket> callers;
-  callers.reserve(kCallers);
-  for (size_t i = 0; i < kCallers; ++i) {
-    callers.push_back(rig.Connect(io));
-    boost::system::error_code ignored;
-    asio::write(callers.back(), asio::buffer(request), ignored);
-  }
+  std::vector<asio::ip::tcp::socket> callers =
+      SendToAll(request, [&rig, &io]() { return rig.Connect(io); });
   CHECK(Begins(rig.Ask(Request("/pay/x")), "HTTP/1.1 200"));
   const std::string log = rig.Log();
   CHECK(log.find("event=memory-exceeded holder=caller") != std::string::npos);
@@ -260,13 +271,8 @@
       "Content-Length: 300000\r\n\r\n" +
       std::string(200000, 'x');
   asio::io_context io;
-  std::vector<asio::ip::tcp::socket> operators;
-  operators.reserve(kCallers);
-  for (size_t i = 0; i < kCallers; ++i) {
-    operators.push_back(rig.ConnectControl(io));
-    boost::system::error_code ignored;
-    asio::write(operators.back(), asio::buffer(request), ignored);
-  }
+  const std::vector<asio::ip::tcp::socket> operators =
+      SendToAll(request, [&rig, &io]() { return rig.ConnectControl(io); });
   CHECK(Begins(rig.Control("GET", "/v1/configuration", ""), "HTTP/1.1 200"));
   CHECK(Begins(rig.Ask(Request("/pay/x")), "HTTP/1.1 200"));
   const std::string log = rig.Log();
