Take a prompt if its whole answer can end in its caller's time, refuse it at once otherwise

Callers saw: a prompt with 9 s left was refused because its first event was predicted after the objective of its route (1.5 s), and was served if the timeout of the route was 30 s in place of 10 s. A short objective refused more than a long one. Large prompts were refused for the sake of those that came after them, unless their callers "came back".

Cause: LatestFirstEvent and MaxWaitWithoutLeader were multiples of the objective; IsCallerRetry took a deadline below 0.8 of the timeout for a repeat; FindVictim spared "repeats" and refused the most prefill for each token; short prompts that missed the objective waited behind all later arrivals. The length of the answer was left out.

Change: one rule in admission_policy for the leader and for gateways without one: the predicted wait, prefill and answer fit in the time that the caller has left. Prompts wait in the order of their latest begin. What was taken on stays: a newcomer that would make an earlier prompt late is refused. A long prompt is not placed on engines where it could not end in time. The wait for engines that all name limits is predicted by their permits, which come in steps, not by the mean rate. PromptAsk carries the time left; objective_ becomes order_, which the previous version of the leader reads.

--- a/src/coordination/gateway/admission_policy.cc
+++ b/src/coordination/gateway/admission_policy.cc
@@ -6,18 +6,6 @@
 namespace gv {
 namespace {
 
-/** Callers give at least this part, in tenths, of the route's timeout as the
- * deadline of their first try; after a refusal they have less time left. */
-constexpr int64_t kFirstTryTimeoutTenths = 8;
-constexpr int64_t kTenths = 10;
-/** Callers follow Retry-After up to this part of the time that they have left.
- */
-constexpr int64_t kRetryAfterDivisor = 3;
-/** Multiple of its objective that the first event of a long prompt may take if
- * the caller was refused before. */
-constexpr int64_t kLongRetryObjectives = 3;
-/** The same for a prompt that a gateway places itself. */
-constexpr int64_t kOwnRetryObjectives = 2;
 /** Bounds of Retry-After for prompts that the leader refuses. */
 constexpr Duration kMinRetryAfter = 2500_ms;
 constexpr Duration kMaxRetryAfter = 4_s;
@@ -31,17 +19,12 @@
 
 }  // namespace
 
-bool IsCallerRetry(const RequestTimes& times) {
-  return times.deadline_ < times.timeout_ * kFirstTryTimeoutTenths / kTenths;
+bool CanFinish(Duration time_left, const WorkLeft& work) {
+  return work.first_event_ <= LatestFirstEvent(time_left, work.answer_);
 }
 
-Duration LatestFirstEvent(const RequestTimes& times, bool is_long) {
-  if (!is_long) {
-    return std::max(times.objective_, times.deadline_ / kRetryAfterDivisor);
-  }
-  // A caller that was refused before has missed its objective already.
-  return IsCallerRetry(times) ? times.objective_ * kLongRetryObjectives
-                              : times.objective_;
+Duration LatestFirstEvent(Duration time_left, Duration answer) {
+  return time_left - answer;
 }
 
 Duration RetryAfterLeaderRefusal(Duration wait) {
@@ -53,9 +36,4 @@
                     kMaxOwnRetryAfter);
 }
 
-Duration MaxWaitWithoutLeader(const RequestTimes& times) {
-  return IsCallerRetry(times) ? times.objective_ * kOwnRetryObjectives
-                              : times.objective_;
-}
-
 }  // namespace gv
--- a/src/coordination/gateway/admission_policy.h
+++ b/src/coordination/gateway/admission_policy.h
@@ -1,33 +1,28 @@
-/** @file admission_policy.h Decides how late a prompt may begin and when the
- * caller of a refused one should return. */
+/** @file admission_policy.h Decides which requests can be served in the time of
+ * their callers, and when the caller of a refused one should return. */
 #pragma once
 
 #include "state/clock_type.h"
 
 namespace gv {
 
-/** Times of a request that decide how long it may wait for its first event. */
-struct RequestTimes {
-  Duration objective_;  ///< Of its route, for the first event.
-  Duration timeout_;    ///< Of its route.
-  Duration deadline_;   ///< That the caller gave, else timeout_.
+/** Time that a request still needs, as predicted. */
+struct WorkLeft {
+  Duration first_event_;  ///< Until its first event, waiting included.
+  Duration answer_;       ///< From there to the end of its answer.
 };
 
-/** @return True if the caller has probably been refused before: its deadline is
- * well below the route's timeout, which it gives at its first try. Thread
- * safety: pure. */
-bool IsCallerRetry(const RequestTimes& times);
-
 /**
- * Load pattern: a crest of short prompts that needs more slots than there are
- * for some seconds, or the prompts that return together after a restart. A
- * refused caller is back after a third of its time at the latest, so it is
- * served earlier if it waits that long here.
- * @param is_long The prompt is prefilled by several engines.
- * @return Longest time from the arrival of a prompt to its first event; a
- * prompt that would begin later is refused at once. Thread safety: pure.
+ * Load pattern: a crest that needs more engines than there are. Who can still
+ * get a whole answer waits for it; everyone else is told at once.
+ * @param time_left Until the caller stops waiting.
+ * @return True if the caller can get its whole answer. Thread safety: pure.
  */
-Duration LatestFirstEvent(const RequestTimes& times, bool is_long);
+bool CanFinish(Duration time_left, const WorkLeft& work);
+
+/** @return Longest time to the first event of a request whose answer takes @p
+ * answer; negative if it cannot be finished. Thread safety: pure. */
+Duration LatestFirstEvent(Duration time_left, Duration answer);
 
 /** @return Retry-After of a prompt that the leader refuses.
  * @param wait Predicted wait of the prompt. Thread safety: pure. */
@@ -37,8 +32,4 @@
  * @param wait Predicted wait of the prompt. Thread safety: pure. */
 Duration RetryAfterOwnRefusal(Duration wait);
 
-/** @return Longest predicted wait with which a gateway places a prompt itself.
- * Thread safety: pure. */
-Duration MaxWaitWithoutLeader(const RequestTimes& times);
-
 }  // namespace gv
--- a/src/coordination/gateway/engine_model.cc
+++ b/src/coordination/gateway/engine_model.cc
@@ -35,6 +35,10 @@
   return passes * EventIntervalMs(engine, streams, context_tokens);
 }
 
+double SlowestAnswerMs(const EngineProfile& engine, int64_t answer_tokens) {
+  return AnswerMs(engine, engine.slots_, engine.memory_tokens_, answer_tokens);
+}
+
 int64_t HelperCount(const EngineProfile& engine, int64_t prompt_tokens,
                     double max_part_ms, int64_t max_helpers) {
   const double parts =
--- a/src/coordination/gateway/engine_model.h
+++ b/src/coordination/gateway/engine_model.h
@@ -25,6 +25,10 @@
 double AnswerMs(const EngineProfile& engine, int64_t streams,
                 int64_t context_tokens, int64_t answer_tokens);
 
+/** @return AnswerMs() at an engine whose slots and memory are full. Thread
+ * safety: pure. */
+double SlowestAnswerMs(const EngineProfile& engine, int64_t answer_tokens);
+
 /** @return Number of helpers that a prompt needs so that no engine prefills for
  * longer than @p max_part_ms, at most @p max_helpers; 0 if the owner prefills
  * it alone. Thread safety: pure. */
--- a/src/coordination/gateway/placement.cc
+++ b/src/coordination/gateway/placement.cc
@@ -198,6 +198,14 @@
          std::max(0.0, waiting) * answer_ms / slots + (no_room ? answer_ms : 0);
 }
 
+double Placer::AnswerMsAt(const PlacementRequest& request,
+                          const Candidate& candidate) {
+  const int64_t tokens = request.prompt_tokens_ + request.answer_tokens_;
+  return AnswerMs(*request.service_->engine_,
+                  candidate.load_.requests_ + candidate.short_streams_ + 1,
+                  candidate.load_.tokens_ + tokens, request.answer_tokens_);
+}
+
 size_t Placer::OwnerCount(const EngineProfile& engine, size_t engines) const {
   const double room =
       kOwnerMemoryUtilisation *
@@ -251,6 +259,7 @@
   Placement placement;
   placement.target_ = best->entry_->target_.id_;
   placement.wait_ms_ = WaitMs(engine, *best, tokens) + prefill_ms;
+  placement.answer_ms_ = AnswerMsAt(request, *best);
   placement.work_.parts_.push_back(
       PrefillPart{placement.target_, prefill_ms, tokens});
   return placement;
@@ -287,6 +296,7 @@
   Placement placement;
   placement.target_ = zone.front().entry_->target_.id_;
   placement.wait_ms_ = WaitMs(engine, zone.front(), tokens) + part_ms;
+  placement.answer_ms_ = AnswerMsAt(request, zone.front());
   placement.work_.parts_.push_back(
       PrefillPart{placement.target_, part_ms, tokens});
   AddHelpers({zone.begin() + 1, zone.end()}, static_cast<size_t>(helpers),
@@ -346,6 +356,7 @@
   placement.work_.parts_.push_back(
       PrefillPart{placement.target_, part_ms, tokens});
   placement.wait_ms_ = WaitMs(engine, owner, tokens);
+  placement.answer_ms_ = AnswerMsAt(request, owner);
   AddHelpers(helpers, static_cast<size_t>(count), part_ms, placement);
   placement.wait_ms_ += part_ms;
   placement.work_.wait_ms_ = placement.wait_ms_;
--- a/src/coordination/gateway/placement.h
+++ b/src/coordination/gateway/placement.h
@@ -65,9 +65,9 @@
 struct SlotTurnover {
   double slots_freed_per_ms_ = 0;  ///< Slots that all engines free.
   double first_event_ms_ = 0;      ///< From a free slot to the first event.
-  /** @return Predicted milliseconds to the first event behind @p ahead others,
-   * while @p overtaking_rate later prompts per second are placed first. */
-  double WaitMs(size_t ahead, double overtaking_rate) const;
+  /** @return Predicted milliseconds to the first event behind @p ahead others.
+   */
+  double WaitMs(size_t ahead) const;
 };
 
 /** The targets chosen for a request. */
@@ -77,6 +77,7 @@
   std::vector<ReservationPlan> reservations_;  ///< KV memory at helpers.
   PlacedRequest work_;                         ///< Entry for the load ledger.
   double wait_ms_ = 0;          ///< Predicted time to the first event.
+  double answer_ms_ = 0;        ///< Predicted time from there to the end.
   size_t candidate_count_ = 0;  ///< Targets that could be chosen.
   /** Targets with a limit for which there is a permit. */
   std::vector<TargetId> permitted_;
@@ -286,6 +287,9 @@
                       int64_t tokens);
   static double WaitMs(const EngineProfile& engine, const Candidate& candidate,
                        int64_t tokens);
+  /** @return Predicted time from the first event to the end of the answer. */
+  static double AnswerMsAt(const PlacementRequest& request,
+                           const Candidate& candidate);
   static void AddHelpers(const std::vector<Candidate>& helpers, size_t count,
                          double part_ms, Placement& placement);
   static void AddReservations(const EngineProfile& engine,
--- a/src/coordination/gateway/placement_leader.cc
+++ b/src/coordination/gateway/placement_leader.cc
@@ -1,6 +1,7 @@
 /** @file placement_leader.cc Places prompts at the leader, from a table of
  * engines that is updated with each placement and each finished prompt. */
 #include <algorithm>
+#include <cmath>
 
 #include "coordination/gateway/engine_model.h"
 #include "coordination/gateway/placement.h"
@@ -112,21 +113,44 @@
   if (limits_.Empty()) {
     return 0;
   }
-  double per_second = 0;
-  size_t permits = 0;
+  struct PermitTimes {
+    double first_ms_ = 0;   ///< Until the next permit.
+    double period_ms_ = 0;  ///< Between two of them.
+  };
+  std::vector<PermitTimes> engines;
   for (const EngineRow* row : Untried(
            UpdatedTable(now, *request.service_, leader_work).rows_, request)) {
     const TargetId& id = row->candidate_.entry_->target_.id_;
     if (!limits_.IsLimited(id)) {
       return 0;
     }
-    per_second += limits_.PerSecond(id);
-    permits += limits_.HasPermit(now, id) ? 1 : 0;
+    engines.push_back(
+        {static_cast<double>(limits_.UntilPermit(now, id).Ms()),
+         kMsPerSecond / limits_.PerSecond(id) +
+             (limits_.KeepsOnePermit(id) ? kPermitUseDelayMs : 0)});
   }
-  return per_second <= 0 || ahead < permits
-             ? 0
-             : static_cast<double>(ahead - permits + 1) / per_second *
-                   kMsPerSecond;
+  if (engines.empty()) {
+    return 0;
+  }
+  // Engines give permits in steps, often all at the same moment, so the time is
+  // searched at which enough of them have been given.
+  const auto permits_until = [&engines](double ms) {
+    double permits = 0;
+    for (const PermitTimes& engine : engines) {
+      if (engine.first_ms_ <= ms) {
+        permits += std::floor((ms - engine.first_ms_) / engine.period_ms_) + 1;
+      }
+    }
+    return permits;
+  };
+  const auto wanted = static_cast<double>(ahead + 1);
+  double too_early = -1;
+  double enough = kNoRoomPenaltyMs;
+  while (enough - too_early > 1) {
+    const double middle = (too_early + enough) / 2;
+    (permits_until(middle) >= wanted ? enough : too_early) = middle;
+  }
+  return std::max(0.0, enough);
 }
 
 std::vector<const Placer::EngineRow*> Placer::LongZone(
@@ -238,18 +262,17 @@
   placement.target_ = best->entry_->target_.id_;
   placement.candidate_count_ = engines.size();
   placement.wait_ms_ = WaitMs(engine, *best, tokens) + prefill_ms;
+  placement.answer_ms_ = AnswerMsAt(request, *best);
   placement.work_.wait_ms_ = placement.wait_ms_;
   placement.work_.parts_.push_back(
       PrefillPart{placement.target_, prefill_ms, tokens});
   return placement;
 }
 
-double SlotTurnover::WaitMs(size_t ahead, double overtaking_rate) const {
-  const double net_freed_per_ms =
-      slots_freed_per_ms_ - overtaking_rate / kMsPerSecond;
-  return net_freed_per_ms <= 0
+double SlotTurnover::WaitMs(size_t ahead) const {
+  return slots_freed_per_ms_ <= 0
              ? kNoRoomPenaltyMs
-             : static_cast<double>(ahead + 1) / net_freed_per_ms +
+             : static_cast<double>(ahead + 1) / slots_freed_per_ms_ +
                    first_event_ms_;
 }
 
--- a/src/coordination/gateway/placement_weights.h
+++ b/src/coordination/gateway/placement_weights.h
@@ -88,6 +88,9 @@
  */
 inline constexpr double kStreamPenaltyMs = 3;
 inline constexpr double kMsPerSecond = 1000;
+/** Queued prompts are placed once a tick, so a permit is used up to this much
+ * later than it is there. */
+inline constexpr double kPermitUseDelayMs = 50;
 /** Odd constant of multiplicative hashing: 2^64 divided by the golden ratio. */
 inline constexpr uint64_t kHashMultiplier = 0x9E3779B97F4A7C15ULL;
 /** Time saved by an idle connection: a new one needs its handshake and a round
--- a/src/coordination/gateway/prompt_scheduler.cc
+++ b/src/coordination/gateway/prompt_scheduler.cc
@@ -1,9 +1,10 @@
-/** @file prompt_scheduler.cc Queues prompts by the time of their objective and
- * places them. */
+/** @file prompt_scheduler.cc Queues prompts by the latest time at which they
+ * can begin, and places them. */
 #include "coordination/gateway/prompt_scheduler.h"
 
 #include <algorithm>
 
+#include "coordination/gateway/admission_policy.h"
 #include "coordination/gateway/engine_model.h"
 
 namespace gv {
@@ -39,9 +40,9 @@
 constexpr double kReaderUtilisation = 0.7;
 /** Engines that prefill one prompt: the owner and its helpers. */
 constexpr double kMaxReaders = kMaxHelpers + 1;
-/** A queued long prompt is kept while its predicted first event is at most this
- * late, as predictions are not exact. */
-constexpr double kLateToleranceMs = 150;
+/** Share of its slack by which a queued prompt may be late, as predictions are
+ * not exact; a newcomer may not. */
+constexpr double kPredictionError = 0.1;
 /** Network time of a short prompt from the leader to the engine and from there
  * to the caller: four one-way delays between data centres. */
 constexpr double kShortNetworkMs = 16;
@@ -104,51 +105,96 @@
          prefill_ms / prompt_readers * kPrefillMargin + kLongOverheadMs;
 }
 
-std::vector<PromptScheduler::QueuedPrompt>::iterator
-PromptScheduler::FindVictim(size_t late) {
-  // Refuses the prompt with the most prefill per token. Prompts that were
-  // refused before are exempt, or large prompts would never be served.
-  const auto end = long_queue_.begin() + static_cast<std::ptrdiff_t>(late);
-  auto victim = end;
-  for (auto it = long_queue_.begin(); it != end; ++it) {
-    if (!it->was_refused_ && it->CostPerToken() > victim->CostPerToken()) {
-      victim = it;
+TimePoint PromptScheduler::LatestBegin(const QueuedPrompt& queued,
+                                       double answer_ms) {
+  const PromptAsk& ask = queued.ask_;
+  const Duration latest =
+      ask.time_left_ > Duration()
+          ? std::min(
+                ask.latest_,
+                LatestFirstEvent(ask.time_left_,
+                                 Duration(static_cast<int64_t>(answer_ms))))
+          : ask.latest_;
+  return queued.arrived_ + latest;
+}
+
+bool PromptScheduler::IsInTime(TimePoint now, const QueuedPrompt& queued,
+                               TimePoint latest, double wait_ms) {
+  const double error = queued.arrived_ == now ? 0 : kPredictionError;
+  return wait_ms <=
+         static_cast<double>((latest - now).Ms()) +
+             static_cast<double>((latest - queued.arrived_).Ms()) * error;
+}
+
+bool PromptScheduler::CanBegin(TimePoint now, const QueuedPrompt& queued,
+                               double wait_ms) {
+  return IsInTime(now, queued, queued.latest_first_event_, wait_ms);
+}
+
+bool PromptScheduler::CanEndAt(TimePoint now, const QueuedPrompt& queued,
+                               const Placement& placement) {
+  return IsInTime(now, queued, LatestBegin(queued, placement.answer_ms_),
+                  placement.wait_ms_ + kShortNetworkMs);
+}
+
+double PromptScheduler::ShortWaitMs(TimePoint now, const QueuedPrompt& queued,
+                                    const SlotTurnover& turnover,
+                                    size_t ahead) const {
+  const double permit_ms = placer_.PermitWaitMs(now, ToPlacementRequest(queued),
+                                                placed_work_, ahead);
+  return (permit_ms > 0 ? permit_ms + turnover.first_event_ms_
+                        : turnover.WaitMs(ahead)) +
+         kShortNetworkMs;
+}
+
+size_t PromptScheduler::FindVictim(const Queue& queue, size_t late) {
+  size_t newest = late;
+  for (size_t i = 0; i < late; ++i) {
+    newest = queue[i].number_ > queue[newest].number_ ? i : newest;
+  }
+  return newest;
+}
+
+template <class WaitMs>
+void PromptScheduler::RefuseLate(TimePoint now, Queue& queue, WaitMs wait_ms) {
+  double ahead_ms = 0;
+  for (size_t i = 0; i < queue.size();) {
+    const double wait = wait_ms(queue[i], i, ahead_ms);
+    if (CanBegin(now, queue[i], wait)) {
+      ahead_ms += queue[i].prefill_ms_;
+      ++i;
+      continue;
+    }
+    // Nobody else gives way for a prompt that is late in any case.
+    const bool depends_on_others =
+        CanBegin(now, queue[i], wait_ms(queue[i], 0, 0));
+    const size_t victim = depends_on_others ? FindVictim(queue, i) : i;
+    Refuse(queue[victim], wait);
+    if (victim < i) {
+      ahead_ms -= queue[victim].prefill_ms_;
+      --i;
     }
+    queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(victim));
   }
-  return victim;
 }
 
 void PromptScheduler::RefuseLateLong(TimePoint now) {
   if (long_queue_.empty()) {
     return;
   }
-  double ahead_ms = RemainingPrefillMs(now);
+  const double placed_ms = RemainingPrefillMs(now);
   // Prompts differ here only in the targets that they have tried already, so
   // the count for the first one is used for all.
   const auto readers = static_cast<double>(placer_.ReaderCount(
       now, ToPlacementRequest(long_queue_.front()), placed_work_));
-  for (size_t i = 0; i < long_queue_.size();) {
-    const QueuedPrompt& queued = long_queue_[i];
-    const double wait_ms = std::max(
-        LongWaitMs(ahead_ms, queued.prefill_ms_, readers),
-        placer_.PermitWaitMs(now, ToPlacementRequest(queued), placed_work_, i));
-    const auto left_ms =
-        static_cast<double>((queued.latest_first_event_ - now).Ms());
-    if (wait_ms <= left_ms + (queued.arrived_ == now ? 0 : kLateToleranceMs)) {
-      ahead_ms += queued.prefill_ms_;
-      ++i;
-      continue;
-    }
-    const auto victim = FindVictim(i);
-    const bool is_late_one =
-        victim == long_queue_.begin() + static_cast<std::ptrdiff_t>(i);
-    Refuse(*victim, wait_ms);
-    if (!is_late_one) {
-      ahead_ms -= victim->prefill_ms_;
-      --i;
-    }
-    long_queue_.erase(victim);
-  }
+  RefuseLate(
+      now, long_queue_,
+      [&](const QueuedPrompt& queued, size_t ahead, double ahead_ms) {
+        return std::max(
+            LongWaitMs(placed_ms + ahead_ms, queued.prefill_ms_, readers),
+            placer_.PermitWaitMs(now, ToPlacementRequest(queued), placed_work_,
+                                 ahead));
+      });
 }
 
 void PromptScheduler::OnPlacementRequest(TimePoint now, const NodeId& gateway,
@@ -163,31 +209,25 @@
   queued.ask_ = ask;
   queued.service_ = *service;
   queued.arrived_ = now;
-  queued.queue_order_ = now + ask.objective_;
-  queued.latest_first_event_ = now + ask.latest_;
+  queued.number_ = ++last_number_;
+  queued.latest_first_event_ = LatestBegin(
+      queued, SlowestAnswerMs(*service->engine_, ask.answer_tokens_));
   queued.prefill_ms_ = PrefillMs(*service->engine_, ask.prompt_tokens_);
   if (!placer_.IsLong(ToPlacementRequest(queued))) {
     PlaceOrQueueShort(now, std::move(queued));
     return;
   }
-  // For a prompt that was refused before, the gateway allows a first event
-  // later than the objective, which the prompt misses in any case. It is queued
-  // by that later time, so that prompts that can still meet their objective are
-  // placed first.
-  queued.was_refused_ = queued.latest_first_event_ > queued.queue_order_;
-  queued.queue_order_ = queued.latest_first_event_;
-  Insert(long_queue_, std::move(queued));
+  long_queue_.insert(PlaceInQueue(long_queue_, queued), std::move(queued));
   PlaceQueuedLong(now);
 }
 
-void PromptScheduler::Insert(std::vector<QueuedPrompt>& queue,
-                             QueuedPrompt queued) {
-  const auto place =
-      std::upper_bound(queue.begin(), queue.end(), queued,
-                       [](const QueuedPrompt& a, const QueuedPrompt& b) {
-                         return a.queue_order_ < b.queue_order_;
-                       });
-  queue.insert(place, std::move(queued));
+PromptScheduler::Queue::iterator PromptScheduler::PlaceInQueue(
+    Queue& queue, const QueuedPrompt& queued) {
+  return std::upper_bound(queue.begin(), queue.end(), queued,
+                          [](const QueuedPrompt& a, const QueuedPrompt& b) {
+                            return a.latest_first_event_ <
+                                   b.latest_first_event_;
+                          });
 }
 
 LoadLedger& PromptScheduler::LedgerOf(const PlacedPrompt& placed) {
@@ -210,9 +250,6 @@
 
 void PromptScheduler::PlaceOrQueueShort(TimePoint now, QueuedPrompt queued) {
   placed_work_.short_prompts_per_s_ = short_arrivals_.Add(now);
-  if (queued.queue_order_ > now) {
-    timely_arrivals_.Add(now);
-  }
   if (short_queue_.empty()) {
     const auto placement = ChooseEngineForShort(now, queued);
     if (placement) {
@@ -220,76 +257,57 @@
       return;
     }
   }
-  const double wait_ms = ShortWaitMs(
-      now, queued,
-      placer_.SlotTurnoverFor(now, ToPlacementRequest(queued), placed_work_),
-      short_queue_.size());
-  if (wait_ms > static_cast<double>((queued.latest_first_event_ - now).Ms())) {
+  const SlotTurnover turnover =
+      placer_.SlotTurnoverFor(now, ToPlacementRequest(queued), placed_work_);
+  const auto place = PlaceInQueue(short_queue_, queued);
+  const auto ahead = static_cast<size_t>(place - short_queue_.begin());
+  const double wait_ms = ShortWaitMs(now, queued, turnover, ahead);
+  if (!CanBegin(now, queued, wait_ms) || DelaysOthers(now, turnover, ahead)) {
     Refuse(queued, wait_ms);
     return;
   }
   replies_.push_back({queued.key_.first, PromptQueued{queued.ask_.operation_}});
-  Insert(short_queue_, std::move(queued));
+  short_queue_.insert(place, std::move(queued));
 }
 
-bool PromptScheduler::CanMeetObjective(TimePoint now,
-                                       const QueuedPrompt& queued,
-                                       const SlotTurnover& turnover,
-                                       size_t ahead) {
-  return turnover.WaitMs(ahead, 0) + kShortNetworkMs <=
-         static_cast<double>((queued.queue_order_ - now).Ms());
-}
-
-double PromptScheduler::ShortWaitMs(TimePoint now, const QueuedPrompt& queued,
-                                    const SlotTurnover& turnover,
-                                    size_t ahead) {
-  // A prompt that misses its objective waits until no prompt that can meet its
-  // own needs a slot, so later arrivals pass it unless they are late as well.
-  const double passing_rate = CanMeetObjective(now, queued, turnover, ahead)
-                                  ? 0
-                                  : timely_arrivals_.PerSecond(now);
-  return turnover.WaitMs(ahead, passing_rate) + kShortNetworkMs;
+bool PromptScheduler::DelaysOthers(TimePoint now, const SlotTurnover& turnover,
+                                   size_t place) const {
+  for (size_t i = place; i < short_queue_.size(); ++i) {
+    const auto begins_in_time = [&](size_t ahead) {
+      return CanBegin(now, short_queue_[i],
+                      ShortWaitMs(now, short_queue_[i], turnover, ahead));
+    };
+    if (begins_in_time(i) && !begins_in_time(i + 1)) {
+      return true;
+    }
+  }
+  return false;
 }
 
 void PromptScheduler::PlaceQueuedShort(TimePoint now) {
-  if (short_queue_.empty()) {
-    return;
-  }
-  const SlotTurnover turnover = placer_.SlotTurnoverFor(
-      now, ToPlacementRequest(short_queue_.front()), placed_work_);
   while (!short_queue_.empty()) {
-    const auto in_time =
-        std::find_if(short_queue_.begin(), short_queue_.end(),
-                     [&](const QueuedPrompt& queued) {
-                       return CanMeetObjective(now, queued, turnover, 0);
-                     });
-    const auto next =
-        in_time == short_queue_.end() ? short_queue_.begin() : in_time;
-    const auto placement = ChooseEngineForShort(now, *next);
+    const auto placement = ChooseEngineForShort(now, short_queue_.front());
     if (!placement) {
       break;
     }
-    CommitShort(now, *next, *placement);
-    short_queue_.erase(next);
+    CommitShort(now, short_queue_.front(), *placement);
+    short_queue_.pop_front();
   }
-  for (size_t i = 0; i < short_queue_.size();) {
-    const QueuedPrompt& queued = short_queue_[i];
-    const double wait_ms = ShortWaitMs(now, queued, turnover, i);
-    if (wait_ms <=
-        static_cast<double>((queued.latest_first_event_ - now).Ms())) {
-      ++i;
-      continue;
-    }
-    Refuse(queued, wait_ms);
-    short_queue_.erase(short_queue_.begin() + static_cast<std::ptrdiff_t>(i));
+  if (short_queue_.empty()) {
+    return;
   }
+  const SlotTurnover turnover = placer_.SlotTurnoverFor(
+      now, ToPlacementRequest(short_queue_.front()), placed_work_);
+  RefuseLate(now, short_queue_,
+             [&](const QueuedPrompt& queued, size_t ahead, double) {
+               return ShortWaitMs(now, queued, turnover, ahead);
+             });
 }
 
 void PromptScheduler::CommitShort(TimePoint now, const QueuedPrompt& queued,
                                   const Placement& placement) {
-  const double wait_ms = placement.wait_ms_ + kShortNetworkMs;
-  if (wait_ms > static_cast<double>((queued.latest_first_event_ - now).Ms())) {
-    Refuse(queued, wait_ms);
+  if (!CanEndAt(now, queued, placement)) {
+    Refuse(queued, placement.wait_ms_ + kShortNetworkMs);
     return;
   }
   PlacedPrompt placed{placed_work_.short_prompts_.Begin(now, placement.work_),
@@ -406,7 +424,8 @@
     const QueuedPrompt& queued = long_queue_[i];
     const std::optional<Placement> placement =
         placer_.PlaceLongNow(now, ToPlacementRequest(queued), placed_work_);
-    if (!placement) {
+    // More engines may be free later.
+    if (!placement || !CanEndAt(now, queued, *placement)) {
       ++i;
       continue;
     }
--- a/src/coordination/gateway/prompt_scheduler.h
+++ b/src/coordination/gateway/prompt_scheduler.h
@@ -1,5 +1,5 @@
 /** @file prompt_scheduler.h Places the prompts of all gateways on engines, in
- * the order of the times at which their first events are due. */
+ * the order of the times at which they have to begin. */
 #pragma once
 
 #include <deque>
@@ -24,9 +24,11 @@
  * Queues and places prompts; runs at the leader. Since it knows every prompt
  * that it placed, an engine never prefills more than one part of a long prompt
  * at a time, and never gets a short prompt while its slots are taken and others
- * are free. It refuses prompts at once that can't begin in time. It keeps no
- * state when leadership moves: gateways then send their requests to the new
- * leader, and report the prompts that the previous one placed.
+ * are free. Queued prompts are placed in the order of the latest times at which
+ * they can begin and still end in time. A prompt that can't end in time is
+ * refused at once; so is a newcomer that would make an earlier prompt late. It
+ * keeps no state when leadership moves: gateways then send their requests to
+ * the new leader, and report the prompts that the previous one placed.
  * Load patterns that it is built for: bursts of archives at 2.8 times the mean
  * rate, which need as much prefill as all engines together provide, and bursts
  * of short prompts from 31 gateways that fill nine in ten of all slots.
@@ -71,15 +73,12 @@
     PromptAsk ask_;                 ///< The placement request.
     Service service_;               ///< Settings at the time of arrival.
     TimePoint arrived_;             ///< Arrival of the placement request.
-    TimePoint queue_order_;         ///< Sort key: when its first event is due.
-    TimePoint latest_first_event_;  ///< Refused if it would begin later.
+    uint64_t number_ = 0;           ///< Grows with each arrival.
+    TimePoint latest_first_event_;  ///< Refused if it would begin later, with
+                                    ///< the slowest answer.
     double prefill_ms_ = 0;         ///< Predicted prefill on a single engine.
-    bool was_refused_ = false;      ///< The gateway asks again after a refusal.
-    /** @return Prefill per token in milliseconds; grows with the length. */
-    double CostPerToken() const {
-      return prefill_ms_ / static_cast<double>(ask_.prompt_tokens_ + 1);
-    }
   };
+  using Queue = std::deque<QueuedPrompt>;  ///< By latest_first_event_.
   /** Rate of recent arrivals. */
   class ArrivalRate {
    public:
@@ -104,7 +103,19 @@
   static PlacementRequest ToPlacementRequest(const QueuedPrompt& queued);
   std::optional<Placement> ChooseEngineForShort(TimePoint now,
                                                 const QueuedPrompt& queued);
-  static void Insert(std::vector<QueuedPrompt>& queue, QueuedPrompt queued);
+  /** @return Where a prompt belongs in @p queue. */
+  static Queue::iterator PlaceInQueue(Queue& queue, const QueuedPrompt& queued);
+  /** @return When the first event of a prompt has to come at the latest.
+   * @param answer_ms Predicted time from there to the end of the answer. */
+  static TimePoint LatestBegin(const QueuedPrompt& queued, double answer_ms);
+  /** @return True if a prompt with this predicted wait begins by @p latest, as
+   * far as predictions are exact. */
+  static bool IsInTime(TimePoint now, const QueuedPrompt& queued,
+                       TimePoint latest, double wait_ms);
+  /** @return True if a queued prompt with this predicted wait begins in time.
+   */
+  static bool CanBegin(TimePoint now, const QueuedPrompt& queued,
+                       double wait_ms);
   LoadLedger& LedgerOf(const PlacedPrompt& placed);
   void PlaceOrQueueShort(TimePoint now, QueuedPrompt queued);
   void PlaceQueuedShort(TimePoint now);
@@ -118,18 +129,29 @@
    * @param prefill_ms The prompt's prefill, on a single engine.
    * @param readers Engines that prefill long prompts, at least 1. */
   static double LongWaitMs(double ahead_ms, double prefill_ms, double readers);
-  /** @return The prompt to refuse when the long prompt at index @p late would
-   * be late: that one or an earlier one. */
-  std::vector<QueuedPrompt>::iterator FindVictim(size_t late);
-  /** Refuses queued long prompts until all others can begin in time. */
-  void RefuseLateLong(TimePoint now);
-  /** @return True if a short prompt can begin by its objective after @p ahead
-   * others. */
-  static bool CanMeetObjective(TimePoint now, const QueuedPrompt& queued,
-                               const SlotTurnover& turnover, size_t ahead);
-  /** @return Predicted time to the first event of a short prompt. */
+  /** @return True if a prompt that is placed so ends in time. */
+  static bool CanEndAt(TimePoint now, const QueuedPrompt& queued,
+                       const Placement& placement);
+  /** @return Predicted time to the first event of a short prompt behind @p
+   * ahead others. */
   double ShortWaitMs(TimePoint now, const QueuedPrompt& queued,
-                     const SlotTurnover& turnover, size_t ahead);
+                     const SlotTurnover& turnover, size_t ahead) const;
+  /** @return Index of the prompt to refuse when the one at @p late would be
+   * late behind those before it: the newest of them all. */
+  static size_t FindVictim(const Queue& queue, size_t late);
+  /**
+   * Refuses queued prompts until all others can begin in time.
+   * @param wait_ms Returns the predicted time to the first event of a queued
+   * prompt, from the number of prompts ahead of it and their prefill in
+   * milliseconds on a single engine.
+   */
+  template <class WaitMs>
+  void RefuseLate(TimePoint now, Queue& queue, WaitMs wait_ms);
+  void RefuseLateLong(TimePoint now);
+  /** @return True if a newcomer at @p place would make a queued short prompt
+   * late. */
+  bool DelaysOthers(TimePoint now, const SlotTurnover& turnover,
+                    size_t place) const;
   void SendPlaced(TimePoint now, const QueuedPrompt& queued,
                   const Placement& placement);
   void Refuse(const QueuedPrompt& queued, double wait_ms);
@@ -142,15 +164,15 @@
   /** Frees the engines that prefill a long prompt. */
   void FinishPrefill(PlacedPrompt& placed);
 
-  const Placer& placer_;                   ///< Chooses engines.
-  LeaderWork placed_work_;                 ///< Load by prompts placed here.
-  IdleConnections kept_connections_;       ///< Idle ones of all gateways.
-  std::vector<QueuedPrompt> long_queue_;   ///< Sorted by queue_order_.
-  std::vector<QueuedPrompt> short_queue_;  ///< Sorted by queue_order_.
-  ArrivalRate short_arrivals_;             ///< Of short prompts.
-  ArrivalRate timely_arrivals_;            ///< Of those that can be in time.
-  std::map<Key, PlacedPrompt> placed_;     ///< Placed and not yet ended.
-  std::vector<SchedulerReply> replies_;    ///< Until TakeReplies().
+  const Placer& placer_;                 ///< Chooses engines.
+  LeaderWork placed_work_;               ///< Load by prompts placed here.
+  IdleConnections kept_connections_;     ///< Idle ones of all gateways.
+  Queue long_queue_;                     ///< Need several engines.
+  Queue short_queue_;                    ///< Need a slot.
+  uint64_t last_number_ = 0;             ///< Of the newest prompt.
+  ArrivalRate short_arrivals_;           ///< Of short prompts.
+  std::map<Key, PlacedPrompt> placed_;   ///< Placed and not yet ended.
+  std::vector<SchedulerReply> replies_;  ///< Until TakeReplies().
 };
 
 }  // namespace gv
--- a/src/coordination/gateway/target_limits.cc
+++ b/src/coordination/gateway/target_limits.cc
@@ -184,6 +184,10 @@
   return state.next_return_ - now;
 }
 
+bool TargetLimits::KeepsOnePermit(const TargetId& target) const {
+  return PerSecond(target) * kBurstSeconds < 2;
+}
+
 double TargetLimits::PerSecond(const TargetId& target) const {
   const State* state = FindLimited(target);
   return state == nullptr ? 0 : *state->per_second_;
--- a/src/coordination/gateway/target_limits.h
+++ b/src/coordination/gateway/target_limits.h
@@ -94,6 +94,8 @@
    * which a refused caller returns; each gets a later one, up to a maximum.
    * @pre This gateway leads. */
   Duration NextReturn(TimePoint now, const TargetId& target);
+  /** @return True if no permit accrues for @p target while one is unused. */
+  bool KeepsOnePermit(const TargetId& target) const;
   /** @return Requests per second; zero without a limit. */
   double PerSecond(const TargetId& target) const;
 
--- a/src/protocol/registry_messages.h
+++ b/src/protocol/registry_messages.h
@@ -145,10 +145,13 @@
   std::string service_;        ///< Where to.
   int64_t prompt_tokens_ = 0;  ///< To be read.
   int64_t answer_tokens_ = 0;  ///< To be written, at most.
-  Duration objective_;  ///< Prompts go on in the order of this time from now.
-  Duration latest_;     ///< It is refused rather than begun after this time.
+  Duration order_;   ///< Equal to latest_; leaders of the previous version
+                     ///< order prompts by it.
+  Duration latest_;  ///< It is refused rather than begun after this time.
   std::vector<TargetId> tried_;  ///< Targets that failed it, or that the
                                  ///< gateway suspects.
+  Duration time_left_;  ///< Until its answer has to end; zero from a gateway of
+                        ///< the previous version.
 };
 
 /** Memory to be reserved at one engine. */
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -114,12 +114,12 @@
   void Log(EventId id, const std::string& detail) const;
   Duration TimeLeft() const;
   bool IsPrompt() const;
-  RequestTimes Times() const;
 
   // forward_attempt.cc: attempts at targets and their outcomes.
   PlacementRequest ToPlace() const;
   void StartAttempt();
-  bool CanMeetObjective(const Placement& placement) const;
+  /** @return True if the caller gets its whole answer in time. */
+  bool CanFinishAt(const Placement& placement) const;
   void SendTo(const Placement& placement);
   void PlaceElsewhere(const TargetId& target, const char* reason);
   std::string BuildRequest(const Placement& placement) const;
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -90,7 +90,7 @@
                        limit_wait_ ? kTargetLimit : "no-target");
     return;
   }
-  if (sent_ == 0 && !CanMeetObjective(*placement)) {
+  if (sent_ == 0 && IsPrompt() && !CanFinishAt(*placement)) {
     const Duration wait(static_cast<int64_t>(placement->wait_ms_));
     Refuse(kUnavailable, "overloaded wait_ms=" + std::to_string(wait.Ms()),
            RetryAfterOwnRefusal(wait));
@@ -103,17 +103,11 @@
   SendTo(*placement);
 }
 
-RequestTimes Forward::Times() const {
-  return RequestTimes{route_.objective_, route_.timeout_,
-                      facts_.deadline_.value_or(route_.timeout_)};
-}
-
-bool Forward::CanMeetObjective(const Placement& placement) const {
-  if (!IsPrompt() || route_.objective_ <= Duration()) {
-    return true;
-  }
-  const Duration max_wait = std::min(MaxWaitWithoutLeader(Times()), TimeLeft());
-  return placement.wait_ms_ <= static_cast<double>(max_wait.Ms());
+bool Forward::CanFinishAt(const Placement& placement) const {
+  return CanFinish(
+      answer_deadline_ - gateway_.Now(),
+      WorkLeft{Duration(static_cast<int64_t>(placement.wait_ms_)),
+               Duration(static_cast<int64_t>(placement.answer_ms_))});
 }
 
 void Forward::SendTo(const Placement& placement) {
--- a/src/transport/gateway/forward_prompt.cc
+++ b/src/transport/gateway/forward_prompt.cc
@@ -44,7 +44,6 @@
         gateway_.Now(), PrefillMs(*service_.engine_, to_place.prompt_tokens_));
   }
   const TimePoint now = gateway_.Now();
-  const Duration waited = now - arrived_;
   PromptAsk request;
   request.service_ = service_.name_;
   request.prompt_tokens_ = to_place.prompt_tokens_;
@@ -53,11 +52,9 @@
   for (TargetId& target : gateway_.Suspected()) {
     request.tried_.push_back(std::move(target));
   }
-  request.objective_ = route_.objective_ - waited;
-  const Duration left = answer_deadline_ - now;
-  request.latest_ =
-      sent_ > 0 ? left
-                : std::min(LatestFirstEvent(Times(), is_long) - waited, left);
+  request.time_left_ = answer_deadline_ - now;
+  request.latest_ = request.time_left_;
+  request.order_ = request.latest_;
   leader_asked_at_ = now;
   leader_reply_deadline_ =
       now + (is_long ? request.latest_ + kLongReplyMargin : kShortReplyTimeout);
--- a/tests/platform/gateway_path_test.cc
+++ b/tests/platform/gateway_path_test.cc
@@ -142,6 +142,42 @@
   CHECK(std::chrono::steady_clock::now() - begin < Milliseconds(500));
 }
 
+/** @return kConfiguration with @p was replaced by @p now in the route of
+ * prompts. */
+std::string PromptRouteWith(const std::string& was, const std::string& now) {
+  std::string text = kConfiguration;
+  text.replace(text.find(was), was.size(), now);
+  return text;
+}
+
+TEST_CASE("gateway path: a long prompt is served if its caller has the time") {
+  // 150,000 tokens take 2.9 s on one engine, and the caller waits for 9 s.
+  // Guards against a refusal by the objective of the route, which was doubled
+  // for callers whose deadline was well below the timeout of the route.
+  const auto script = [](const TargetRequest& request, TargetLine& line) {
+    line.BeginEvents(request);
+    line.SendEvent(1);
+    line.Send("0\r\n\r\n");
+  };
+  for (const std::string& configuration :
+       {std::string(kConfiguration),
+        PromptRouteWith("\"timeoutMs\":10000", "\"timeoutMs\":30000"),
+        PromptRouteWith("\"sloMs\":1500", "\"sloMs\":50"),
+        PromptRouteWith("\"sloMs\":1500", "\"sloMs\":9000")}) {
+    ScriptedTarget model(script);
+    GatewayRig rig(configuration);
+    rig.Register("i-1", "model", model.Address());
+    const std::string answer = rig.Ask(
+        Request("/read/x", "Gooseberryvale-Token-Usage: 150000,800\r\n"));
+    CHECK_MESSAGE(Begins(answer, "HTTP/1.1 200"), answer, configuration,
+                  rig.Log());
+    // 250,000 tokens take 7.2 s, and their answer 1.5 s.
+    const std::string refusal = rig.Ask(
+        Request("/read/x", "Gooseberryvale-Token-Usage: 250000,8000\r\n"));
+    CHECK_MESSAGE(Begins(refusal, "HTTP/1.1 503"), refusal, rig.Log());
+  }
+}
+
 TEST_CASE("gateway path: a stream that broke goes on within its answer") {
   // The first target breaks off after the objective, so that the leader refuses
   // to place the prompt anew; on the users' bench (Tilecarvers scale-1, request
