Serve prompts in the order of their rank and slack

Cause: Forward::priority_ was read from the configuration and used by nothing; PromptAsk had no field for it.

Change: gateways send the rank. A prompt is due when half of its slack (rank 0) to three quarters of it (lowest rank) are used up; the queue is in that order, so a higher rank passes lower ones that came a little earlier, and no rank starves. A newcomer that makes a prompt of a lower rank late is taken, one of its own or a higher rank not. The log line of the admission names the rank. Short prompts are placed only where the prediction says that they end in time.

--- a/src/coordination/gateway/admission_policy.cc
+++ b/src/coordination/gateway/admission_policy.cc
@@ -27,6 +27,11 @@
   return time_left - answer;
 }
 
+Duration DueIn(Duration slack, int64_t rank) {
+  const Duration quarter = slack / 4;
+  return quarter * 3 - quarter / (std::max<int64_t>(0, rank) + 1);
+}
+
 Duration RetryAfterLeaderRefusal(Duration wait) {
   return std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
 }
--- a/src/coordination/gateway/admission_policy.h
+++ b/src/coordination/gateway/admission_policy.h
@@ -24,6 +24,17 @@
  * answer; negative if it cannot be finished. Thread safety: pure. */
 Duration LatestFirstEvent(Duration time_left, Duration answer);
 
+/**
+ * Load pattern: prompts of several ranks wait for the same engines. A rank is
+ * served before the next one, but a prompt never waits behind those that arrive
+ * long after it: it is due when half to three quarters of its slack are used
+ * up, the lower its rank the later.
+ * @param slack Time until it has to begin at the latest.
+ * @param rank Priority of its caller; zero is served first.
+ * @return Time until its turn. Thread safety: pure.
+ */
+Duration DueIn(Duration slack, int64_t rank);
+
 /** @return Retry-After of a prompt that the leader refuses.
  * @param wait Predicted wait of the prompt. Thread safety: pure. */
 Duration RetryAfterLeaderRefusal(Duration wait);
--- a/src/coordination/gateway/prompt_scheduler.cc
+++ b/src/coordination/gateway/prompt_scheduler.cc
@@ -1,5 +1,5 @@
-/** @file prompt_scheduler.cc Queues prompts by the latest time at which they
- * can begin, and places them. */
+/** @file prompt_scheduler.cc Queues prompts by their rank and the latest time
+ * at which they can begin, and places them. */
 #include "coordination/gateway/prompt_scheduler.h"
 
 #include <algorithm>
@@ -133,8 +133,12 @@
 
 bool PromptScheduler::CanEndAt(TimePoint now, const QueuedPrompt& queued,
                                const Placement& placement) {
-  return IsInTime(now, queued, LatestBegin(queued, placement.answer_ms_),
-                  placement.wait_ms_ + kShortNetworkMs);
+  const TimePoint latest = LatestBegin(queued, placement.answer_ms_);
+  const double wait_ms = placement.wait_ms_ + kShortNetworkMs;
+  // One engine is predicted more exactly than several.
+  return placement.work_.is_short_
+             ? wait_ms <= static_cast<double>((latest - now).Ms())
+             : IsInTime(now, queued, latest, wait_ms);
 }
 
 double PromptScheduler::ShortWaitMs(TimePoint now, const QueuedPrompt& queued,
@@ -152,7 +156,7 @@
   for (size_t i = 0; i < late; ++i) {
     newest = queue[i].number_ > queue[newest].number_ ? i : newest;
   }
-  return newest;
+  return queue[late].ask_.rank_ > queue[newest].ask_.rank_ ? late : newest;
 }
 
 template <class WaitMs>
@@ -212,6 +216,7 @@
   queued.number_ = ++last_number_;
   queued.latest_first_event_ = LatestBegin(
       queued, SlowestAnswerMs(*service->engine_, ask.answer_tokens_));
+  queued.due_ = now + DueIn(queued.latest_first_event_ - now, ask.rank_);
   queued.prefill_ms_ = PrefillMs(*service->engine_, ask.prompt_tokens_);
   if (!placer_.IsLong(ToPlacementRequest(queued))) {
     PlaceOrQueueShort(now, std::move(queued));
@@ -225,8 +230,7 @@
     Queue& queue, const QueuedPrompt& queued) {
   return std::upper_bound(queue.begin(), queue.end(), queued,
                           [](const QueuedPrompt& a, const QueuedPrompt& b) {
-                            return a.latest_first_event_ <
-                                   b.latest_first_event_;
+                            return a.due_ < b.due_;
                           });
 }
 
@@ -262,7 +266,8 @@
   const auto place = PlaceInQueue(short_queue_, queued);
   const auto ahead = static_cast<size_t>(place - short_queue_.begin());
   const double wait_ms = ShortWaitMs(now, queued, turnover, ahead);
-  if (!CanBegin(now, queued, wait_ms) || DelaysOthers(now, turnover, ahead)) {
+  if (!CanBegin(now, queued, wait_ms) ||
+      DelaysOthers(now, turnover, ahead, queued.ask_.rank_)) {
     Refuse(queued, wait_ms);
     return;
   }
@@ -271,8 +276,11 @@
 }
 
 bool PromptScheduler::DelaysOthers(TimePoint now, const SlotTurnover& turnover,
-                                   size_t place) const {
+                                   size_t place, int64_t rank) const {
   for (size_t i = place; i < short_queue_.size(); ++i) {
+    if (short_queue_[i].ask_.rank_ > rank) {
+      continue;
+    }
     const auto begins_in_time = [&](size_t ahead) {
       return CanBegin(now, short_queue_[i],
                       ShortWaitMs(now, short_queue_[i], turnover, ahead));
@@ -424,8 +432,8 @@
     const QueuedPrompt& queued = long_queue_[i];
     const std::optional<Placement> placement =
         placer_.PlaceLongNow(now, ToPlacementRequest(queued), placed_work_);
-    // More engines may be free later.
     if (!placement || !CanEndAt(now, queued, *placement)) {
+      // More engines may be free later.
       ++i;
       continue;
     }
--- a/src/coordination/gateway/prompt_scheduler.h
+++ b/src/coordination/gateway/prompt_scheduler.h
@@ -24,11 +24,12 @@
  * Queues and places prompts; runs at the leader. Since it knows every prompt
  * that it placed, an engine never prefills more than one part of a long prompt
  * at a time, and never gets a short prompt while its slots are taken and others
- * are free. Queued prompts are placed in the order of the latest times at which
- * they can begin and still end in time. A prompt that can't end in time is
- * refused at once; so is a newcomer that would make an earlier prompt late. It
- * keeps no state when leadership moves: gateways then send their requests to
- * the new leader, and report the prompts that the previous one placed.
+ * are free. Queued prompts are placed in the order of their rank and of the
+ * latest times at which they can begin and still end in time. A prompt that
+ * can't end in time is refused at once; so is a newcomer that would make an
+ * earlier prompt of its rank late. It keeps no state when leadership moves:
+ * gateways then send their requests to the new leader, and report the prompts
+ * that the previous one placed.
  * Load patterns that it is built for: bursts of archives at 2.8 times the mean
  * rate, which need as much prefill as all engines together provide, and bursts
  * of short prompts from 31 gateways that fill nine in ten of all slots.
@@ -76,9 +77,10 @@
     uint64_t number_ = 0;           ///< Grows with each arrival.
     TimePoint latest_first_event_;  ///< Refused if it would begin later, with
                                     ///< the slowest answer.
+    TimePoint due_;                 ///< Sort key: when it is its turn.
     double prefill_ms_ = 0;         ///< Predicted prefill on a single engine.
   };
-  using Queue = std::deque<QueuedPrompt>;  ///< By latest_first_event_.
+  using Queue = std::deque<QueuedPrompt>;  ///< By due_.
   /** Rate of recent arrivals. */
   class ArrivalRate {
    public:
@@ -137,7 +139,8 @@
   double ShortWaitMs(TimePoint now, const QueuedPrompt& queued,
                      const SlotTurnover& turnover, size_t ahead) const;
   /** @return Index of the prompt to refuse when the one at @p late would be
-   * late behind those before it: the newest of them all. */
+   * late behind those before it: the newest of them all, or the late one if its
+   * rank is lower. */
   static size_t FindVictim(const Queue& queue, size_t late);
   /**
    * Refuses queued prompts until all others can begin in time.
@@ -148,10 +151,10 @@
   template <class WaitMs>
   void RefuseLate(TimePoint now, Queue& queue, WaitMs wait_ms);
   void RefuseLateLong(TimePoint now);
-  /** @return True if a newcomer at @p place would make a queued short prompt
-   * late. */
-  bool DelaysOthers(TimePoint now, const SlotTurnover& turnover,
-                    size_t place) const;
+  /** @return True if a newcomer with @p rank at @p place would make a queued
+   * short prompt of its rank or a higher one late. */
+  bool DelaysOthers(TimePoint now, const SlotTurnover& turnover, size_t place,
+                    int64_t rank) const;
   void SendPlaced(TimePoint now, const QueuedPrompt& queued,
                   const Placement& placement);
   void Refuse(const QueuedPrompt& queued, double wait_ms);
--- a/src/protocol/registry_messages.h
+++ b/src/protocol/registry_messages.h
@@ -152,6 +152,7 @@
                                  ///< gateway suspects.
   Duration time_left_;  ///< Until its answer has to end; zero from a gateway of
                         ///< the previous version.
+  int64_t rank_ = 0;    ///< Priority of its caller; zero is served first.
 };
 
 /** Memory to be reserved at one engine. */
--- a/src/transport/gateway/forward.cc
+++ b/src/transport/gateway/forward.cc
@@ -174,9 +174,10 @@
   }
   gateway_.Retries(service_.name_).OnRequest(now);
   Log(EventId::kForwardAdmitted,
-      "prompt=" + std::to_string(facts_.prompt_tokens_) +
-          " deadline_ms=" + std::to_string(deadline.Ms()) + " config=" +
-          std::to_string(config_version_) + " " + parts_.back().Value());
+      "prompt=" + std::to_string(facts_.prompt_tokens_) + " deadline_ms=" +
+          std::to_string(deadline.Ms()) + " rank=" + std::to_string(priority_) +
+          " config=" + std::to_string(config_version_) + " " +
+          parts_.back().Value());
   return true;
 }
 
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -202,7 +202,8 @@
   Route route_;           ///< Route at the time of admission.
   Service service_;       ///< Service at the time of admission.
   std::string customer_;  ///< Name of the customer; empty if anonymous.
-  int64_t priority_ = 0;  ///< Priority of the customer, else of the route.
+  /** Priority of the customer, else of the route; zero is served first. */
+  int64_t priority_ = 0;
   /** Version of the configuration that admitted the request. */
   uint64_t config_version_ = 0;
   TimePoint arrived_;  ///< Time at which the request was received.
--- a/src/transport/gateway/forward_prompt.cc
+++ b/src/transport/gateway/forward_prompt.cc
@@ -55,6 +55,7 @@
   request.time_left_ = answer_deadline_ - now;
   request.latest_ = request.time_left_;
   request.order_ = request.latest_;
+  request.rank_ = priority_;
   leader_asked_at_ = now;
   leader_reply_deadline_ =
       now + (is_long ? request.latest_ + kLongReplyMargin : kShortReplyTimeout);
--- a/tests/admission_policy_test.cc
+++ b/tests/admission_policy_test.cc
@@ -21,5 +21,19 @@
   CHECK(RetryAfterLeaderRefusal(100_ms) < RetryAfterLeaderRefusal(3_s));
 }
 
+TEST_CASE("admission: a higher rank has its turn first, none has it too late") {
+  for (const Duration slack : {800_ms, 8_s, 80_s}) {
+    for (int64_t rank = 0; rank < 9; ++rank) {
+      CHECK(DueIn(slack, rank) < DueIn(slack, rank + 1));
+      const Duration tenfold = DueIn(slack * 10, rank);
+      CHECK(tenfold <= DueIn(slack, rank) * 10);
+      CHECK(tenfold > (DueIn(slack, rank) - 1_ms) * 10);
+    }
+    CHECK(DueIn(slack, 1000000) <= slack);
+    CHECK(DueIn(slack, -1) == DueIn(slack, 0));
+  }
+  CHECK(DueIn(1_s, 2) < DueIn(2_s, 2));
+}
+
 }  // namespace
 }  // namespace gv
