Tell engines the rank of each prompt

Callers saw: engines, which admit the more urgent of their waiting requests first, took all prompts in the order of arrival. Cause: ForwardFacts::urgency_ was never set. Change: it is the priority of the customer, else of the route, at most 9; calls have none. Test: "gateway path: engines are told the priority of their prompts" (no header came before).

--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -16,6 +16,8 @@
 constexpr unsigned kServerError = 500;
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
+/** Engines take urgencies from zero, the first, to this one. */
+constexpr int64_t kLeastUrgent = 9;
 /** Longest idle time of a connection for a request that may run only once;
  * after longer idle times the target may have closed the connection. */
 constexpr Duration kMaxIdleRunOnce = 100_ms;
@@ -181,6 +183,10 @@
   forward.customer_ = customer_;
   forward.helpers_ = HelperList(placement);
   forward.last_event_ = events_.LastId();
+  if (IsPrompt()) {
+    forward.urgency_ =
+        static_cast<int>(std::clamp<int64_t>(priority_, 0, kLeastUrgent));
+  }
   gateway_.Codec().write_forward_(forward, fields);
   const auto method = request_.method_string();
   const auto path = request_.target();
--- a/tests/platform/gateway_path_test.cc
+++ b/tests/platform/gateway_path_test.cc
@@ -178,6 +178,42 @@
   }
 }
 
+TEST_CASE("gateway path: engines are told the priority of their prompts") {
+  // The customer's priority goes before the route's; calls have none.
+  const auto script = [](const TargetRequest& request, TargetLine& line) {
+    if (request.line_.find("/read/") == std::string::npos) {
+      line.Send(Answer(request, 200, kSigned));
+      return;
+    }
+    line.BeginEvents(request);
+    line.SendEvent(1);
+    line.Send("0\r\n\r\n");
+  };
+  const auto urgency_of = [&](const std::string& configuration,
+                              const std::string& path) {
+    ScriptedTarget model(script);
+    ScriptedTarget shop(script);
+    GatewayRig rig(configuration);
+    rig.Register("i-1", "model", model.Address());
+    rig.Register("i-2", "shop", shop.Address());
+    rig.Ask(Request(path, "Gooseberryvale-Token-Usage: 1000,800\r\n"));
+    std::vector<TargetRequest> requests = model.Requests();
+    for (const TargetRequest& request : shop.Requests()) {
+      requests.push_back(request);
+    }
+    REQUIRE(requests.size() == 1);
+    return requests.front().Header("Gooseberryvale-Request-Urgency");
+  };
+  const std::string ranked =
+      PromptRouteWith("\"sloMs\":1500", "\"priority\":3");
+  CHECK(urgency_of(ranked, "/read/x") == "3");
+  std::string customer = ranked;
+  const std::string keys = "\"apiKeys\":[\"k1\"]";
+  customer.replace(customer.find(keys), keys.size(), keys + ",\"priority\":70");
+  CHECK(urgency_of(customer, "/read/x") == "9");
+  CHECK(urgency_of(ranked, "/look/x").empty());
+}
+
 TEST_CASE("gateway path: a stream that broke goes on within its answer") {
   // The first target breaks off after the objective, so that the leader refuses
   // to place the prompt anew; on the users' bench (Tilecarvers scale-1, request
