Tell refused callers when there is room, in the time that they have

Callers saw: Retry-After from fixed spans (2 to 4 s, 0.7 s, 1 s), doubled by the spread: a call with 0.6 s was sent away for 0.7 to 2 s, more than its deadline, and a prompt with a minute left came back after 4 s, whenever there was room.

Cause: constants in admission_policy, forward_attempt and lease_wait; Refuse added up to the same time again.

Change: ReturnAfter gives the predicted time to room, spread up to a third of the time left, which callers follow, and not later than the request can still be finished. What is known: the leader's or the gateway's prediction, the expected lease, the next permit of a limited target, the end of the back-offs and pauses of all targets. Otherwise the second half of that time. A caller without a chance in its time is told when there is room. Only a connection whose request was not read for lack of memory is still told a fixed second, as its deadline is not known.

--- a/src/coordination/gateway/admission_policy.cc
+++ b/src/coordination/gateway/admission_policy.cc
@@ -6,16 +6,11 @@
 namespace gv {
 namespace {
 
-/** Bounds of Retry-After for prompts that the leader refuses. */
-constexpr Duration kMinRetryAfter = 2500_ms;
-constexpr Duration kMaxRetryAfter = 4_s;
-/** The same for prompts that a gateway refuses by its own prediction. */
-constexpr Duration kMinOwnRetryAfter = 2_s;
-constexpr Duration kMaxOwnRetryAfter = 3_s;
-/** Multiple of the predicted wait that Retry-After asks for. Queued work is
- * done after about one wait; twice that allows for work that arrives meanwhile.
+/** Callers follow Retry-After up to this part of the time that they have left.
  */
-constexpr int64_t kOwnRetryAfterWaits = 2;
+constexpr int64_t kFollowedDivisor = 3;
+/** A caller that returned at once would be refused again. */
+constexpr Duration kLeastReturn = 50_ms;
 
 }  // namespace
 
@@ -32,13 +27,18 @@
   return quarter * 3 - quarter / (std::max<int64_t>(0, rank) + 1);
 }
 
-Duration RetryAfterLeaderRefusal(Duration wait) {
-  return std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
-}
-
-Duration RetryAfterOwnRefusal(Duration wait) {
-  return std::clamp(wait * kOwnRetryAfterWaits, kMinOwnRetryAfter,
-                    kMaxOwnRetryAfter);
+Duration ReturnAfter(const RefusedRequest& request) {
+  const Duration latest =
+      std::min(request.time_left_ / kFollowedDivisor,
+               LatestFirstEvent(request.time_left_, request.work_));
+  // Without a prediction, half of that time leaves room for a second refusal.
+  const Duration earliest =
+      std::max(kLeastReturn, request.room_in_.value_or(latest / 2));
+  if (earliest >= latest) {
+    return earliest;
+  }
+  const auto span = static_cast<double>((latest - earliest).Ms());
+  return earliest + Duration(static_cast<int64_t>(span * request.spread_));
 }
 
 }  // namespace gv
--- a/src/coordination/gateway/admission_policy.h
+++ b/src/coordination/gateway/admission_policy.h
@@ -2,6 +2,9 @@
  * their callers, and when the caller of a refused one should return. */
 #pragma once
 
+#include <cstdint>
+#include <optional>
+
 #include "state/clock_type.h"
 
 namespace gv {
@@ -35,12 +38,21 @@
  */
 Duration DueIn(Duration slack, int64_t rank);
 
-/** @return Retry-After of a prompt that the leader refuses.
- * @param wait Predicted wait of the prompt. Thread safety: pure. */
-Duration RetryAfterLeaderRefusal(Duration wait);
+/** A request that is refused. */
+struct RefusedRequest {
+  std::optional<Duration> room_in_;  ///< Until there is room for it, if known.
+  Duration time_left_;               ///< Until its caller stops waiting.
+  Duration work_;                    ///< That it takes without any waiting.
+  double spread_ = 0;                ///< From 0 to 1, differs between callers.
+};
 
-/** @return Retry-After of a prompt that was refused without the leader.
- * @param wait Predicted wait of the prompt. Thread safety: pure. */
-Duration RetryAfterOwnRefusal(Duration wait);
+/**
+ * Load pattern: callers that are refused together come back together. They are
+ * spread over the time in which there is room and they can still be served,
+ * and which they follow.
+ * @return When the caller should return; if there is no room in its time, when
+ * there is some. Thread safety: pure.
+ */
+Duration ReturnAfter(const RefusedRequest& request);
 
 }  // namespace gv
--- a/src/coordination/gateway/engine_model.cc
+++ b/src/coordination/gateway/engine_model.cc
@@ -39,6 +39,15 @@
   return AnswerMs(engine, engine.slots_, engine.memory_tokens_, answer_tokens);
 }
 
+double ShortestWorkMs(const EngineProfile& engine, int64_t prompt_tokens,
+                      int64_t answer_tokens, double max_part_ms,
+                      int64_t max_helpers) {
+  const int64_t readers =
+      HelperCount(engine, prompt_tokens, max_part_ms, max_helpers) + 1;
+  return PrefillMs(engine, prompt_tokens) / static_cast<double>(readers) +
+         AnswerMs(engine, 1, prompt_tokens + answer_tokens, answer_tokens);
+}
+
 int64_t HelperCount(const EngineProfile& engine, int64_t prompt_tokens,
                     double max_part_ms, int64_t max_helpers) {
   const double parts =
--- a/src/coordination/gateway/engine_model.h
+++ b/src/coordination/gateway/engine_model.h
@@ -29,6 +29,13 @@
  * safety: pure. */
 double SlowestAnswerMs(const EngineProfile& engine, int64_t answer_tokens);
 
+/** @return Least time in milliseconds from the placement of a prompt on idle
+ * engines to the end of its answer, split as by HelperCount(). Thread safety:
+ * pure. */
+double ShortestWorkMs(const EngineProfile& engine, int64_t prompt_tokens,
+                      int64_t answer_tokens, double max_part_ms,
+                      int64_t max_helpers);
+
 /** @return Number of helpers that a prompt needs so that no engine prefills for
  * longer than @p max_part_ms, at most @p max_helpers; 0 if the owner prefills
  * it alone. Thread safety: pure. */
--- a/src/coordination/gateway/held_memory.h
+++ b/src/coordination/gateway/held_memory.h
@@ -21,8 +21,8 @@
   kControlRequest,  ///< A connection of a target or an operator.
 };
 
-/** When a caller that was refused for lack of memory comes back; by then slow
- * peers have ended. */
+/** Retry-After of a caller whose request was not read for lack of memory, so
+ * that its deadline is not known; by then slow peers have ended. */
 inline constexpr Duration kRetryAfterMemory = 1_s;
 
 /** Names of holders in log lines. */
--- a/src/coordination/gateway/lease_wait.cc
+++ b/src/coordination/gateway/lease_wait.cc
@@ -19,8 +19,6 @@
 constexpr int64_t kMaxElections = 3;
 /** Time that a request needs at least once the lease is there. */
 constexpr Duration kMinServiceTime = 100_ms;
-/** Retry-After if nothing tells when the lease comes back. */
-constexpr Duration kUnknownReturn = 1_s;
 /** Most memory of waiting requests, an eighth of a small VM. */
 constexpr size_t kMaxHeldBytes = 16 << 20;
 
@@ -59,12 +57,12 @@
                               const HeldWork& held) {
   const std::optional<Duration> wait = ExpectedWait(outlook);
   if (!wait) {
-    return LeaseDecision{false, kUnknownReturn};
+    return LeaseDecision{};
   }
   const bool has_time = *wait + std::max(kMinServiceTime, request.objective_) <=
                         request.time_left_;
   const bool has_memory = held.bytes_ + request.bytes_ <= kMaxHeldBytes;
-  return LeaseDecision{has_time && has_memory, *wait};
+  return LeaseDecision{has_time && has_memory, wait};
 }
 
 }  // namespace gv
--- a/src/coordination/gateway/lease_wait.h
+++ b/src/coordination/gateway/lease_wait.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 
 #include "state/clock_type.h"
 
@@ -48,8 +49,9 @@
 
 /** What happens to a request without a lease. */
 struct LeaseDecision {
-  bool waits_ = false;    ///< Else it is refused as "not run".
-  Duration retry_after_;  ///< When the lease is expected; for a refusal.
+  bool waits_ = false;  ///< Else it is refused as "not run".
+  /** Time until the lease is expected; nothing if that is unknown. */
+  std::optional<Duration> lease_in_;
 };
 
 /**
--- a/src/coordination/gateway/placement.cc
+++ b/src/coordination/gateway/placement.cc
@@ -74,6 +74,27 @@
   return candidates;
 }
 
+Duration Placer::ShortestWork(const PlacementRequest& request) {
+  if (!request.service_->engine_ || request.prompt_tokens_ <= 0) {
+    return {};
+  }
+  return Duration(static_cast<int64_t>(
+      ShortestWorkMs(*request.service_->engine_, request.prompt_tokens_,
+                     request.answer_tokens_, kMaxLongPartMs, kMaxHelpers)));
+}
+
+std::optional<Duration> Placer::UntilUsable(
+    TimePoint now, const PlacementRequest& request) const {
+  std::optional<Duration> soonest;
+  for (const DirectoryEntry* entry : ReadyEntries(request.service_->name_)) {
+    const Duration wait = health_.UntilUsable(now, entry->target_.id_);
+    if (wait > Duration() && (!soonest || wait < *soonest)) {
+      soonest = wait;
+    }
+  }
+  return soonest;
+}
+
 std::vector<TargetId> Placer::LimitedTargets(
     TimePoint now, const PlacementRequest& request) const {
   std::vector<TargetId> limited;
--- a/src/coordination/gateway/placement.h
+++ b/src/coordination/gateway/placement.h
@@ -148,6 +148,15 @@
   std::optional<Placement> Place(TimePoint now,
                                  const PlacementRequest& request) const;
 
+  /** @return Least time that a prompt takes on idle engines; zero for a request
+   * of a plain service. */
+  static Duration ShortestWork(const PlacementRequest& request);
+
+  /** @return Time until one of the targets that are suspected or paused now may
+   * be used again; nothing if there is none. */
+  std::optional<Duration> UntilUsable(TimePoint now,
+                                      const PlacementRequest& request) const;
+
   /** @return Ready targets with a limit that @p request has not tried. They get
    * requests with a permit only, and Place() leaves them out. */
   std::vector<TargetId> LimitedTargets(TimePoint now,
--- a/src/coordination/gateway/target_health.cc
+++ b/src/coordination/gateway/target_health.cc
@@ -105,6 +105,17 @@
   return found != states_.end() && now < found->second.backoff_until_;
 }
 
+Duration TargetHealth::UntilUsable(TimePoint now,
+                                   const TargetId& target) const {
+  const auto found = states_.find(target);
+  if (found == states_.end()) {
+    return {};
+  }
+  const State& state = found->second;
+  return std::max(Duration(),
+                  std::max(state.backoff_until_, state.paused_until_) - now);
+}
+
 bool TargetHealth::IsRecovering(TimePoint now, const TargetId& target) const {
   const auto found = states_.find(target);
   return found != states_.end() && found->second.suspected_ &&
--- a/src/coordination/gateway/target_health.h
+++ b/src/coordination/gateway/target_health.h
@@ -44,6 +44,9 @@
   /** @return True while a suspected target is backing off and should get no
    * requests. */
   bool IsSuspected(TimePoint now, const TargetId& target) const;
+  /** @return Time until the back-off or pause of a target ends; zero if it has
+   * none. */
+  Duration UntilUsable(TimePoint now, const TargetId& target) const;
   /** @return True if the back-off of a suspected target has ended. It may get
    * one request at a time until one of them succeeds. */
   bool IsRecovering(TimePoint now, const TargetId& target) const;
--- a/src/transport/gateway/forward.cc
+++ b/src/transport/gateway/forward.cc
@@ -119,7 +119,8 @@
   if (decision.waits_) {
     if (!waited) {
       Log(EventId::kForwardHeld,
-          "expected_ms=" + std::to_string(decision.retry_after_.Ms()) +
+          "expected_ms=" +
+              std::to_string(decision.lease_in_.value_or(Duration()).Ms()) +
               " left_ms=" + std::to_string(unleased.time_left_.Ms()) +
               " contact_ms=" + std::to_string(outlook.in_contact_.Ms()) +
               " silence_ms=" + std::to_string(outlook.member_silence_.Ms()) +
@@ -131,7 +132,7 @@
   }
   Refuse(kUnavailable,
          gateway_.Table() == nullptr ? "no-configuration" : "no-lease",
-         decision.retry_after_);
+         ReturnTime(decision.lease_in_, unleased.time_left_));
 }
 
 void Forward::StopWaitingForLease() {
@@ -201,20 +202,22 @@
 
 Duration Forward::TimeLeft() const { return caller_deadline_ - gateway_.Now(); }
 
+Duration Forward::ReturnTime(std::optional<Duration> room_in,
+                             Duration time_left) const {
+  constexpr uint64_t kParts = 64;
+  const uint64_t hash = std::hash<std::string>()(facts_.attempt_);
+  return ReturnAfter(RefusedRequest{
+      room_in, time_left, Placer::ShortestWork(ToPlace()),
+      static_cast<double>(hash % kParts) / static_cast<double>(kParts)});
+}
+
 void Forward::Refuse(unsigned status, const std::string& reason,
                      Duration retry_after) {
   WholeAnswer answer;
   answer.status_ = status;
   answer.fields_.set(http::field::content_type, "application/json");
   if (retry_after > Duration()) {
-    // Spread over up to twice the time, so that callers that were refused
-    // together do not retry together.
-    const uint64_t hash = std::hash<std::string>()(facts_.attempt_);
-    constexpr uint64_t kParts = 64;
-    const auto part = static_cast<int64_t>(hash % kParts);
-    const Duration spread =
-        retry_after + retry_after * part / static_cast<int64_t>(kParts);
-    SetRetryAfter(spread, answer.fields_);
+    SetRetryAfter(retry_after, answer.fields_);
   }
   answer.body_ = VerdictBody(NotRun(Reason::kOverloaded, reason));
   Log(EventId::kForwardRefused,
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -26,6 +26,8 @@
 inline constexpr const char* kQuarantined = "request-crashes-targets";
 /** Reason for ending a request that holds too much memory. */
 inline constexpr const char* kTooMuchMemory = "too-much-memory";
+/** Reason for refusing what no ready target is left for. */
+inline constexpr const char* kNoTarget = "no-target";
 /** Reason for refusing what only targets with a limit could take. */
 inline constexpr const char* kTargetLimit = "target-limit";
 
@@ -108,7 +110,12 @@
   void EndForMemory();
   bool Admit();
   bool Authenticate();
+  /** @param retry_after Zero if the caller is told no time to return. */
   void Refuse(unsigned status, const std::string& reason, Duration retry_after);
+  /** @return When the caller should return. @param room_in Until there is room
+   * for the request, if known. @param time_left Of the caller. */
+  Duration ReturnTime(std::optional<Duration> room_in,
+                      Duration time_left) const;
   void FailWith(unsigned status, const std::string& reason);
   void End();
   void Log(EventId id, const std::string& detail) const;
@@ -138,7 +145,8 @@
                       HealthOutcome health = HealthOutcome::kUnreachable);
   bool IsSignedAnswer() const;
   AttemptHistory History() const;
-  Duration RetryAfterOf(const std::string& reason) const;
+  /** @return Time until what @p reason refused has room, if that is known. */
+  std::optional<Duration> RoomIn(const std::string& reason) const;
   void FinishWithoutRetry(const AttemptEnd& end, const std::string& reason);
 
   // forward_parts.cc: requests and parts of prompts that crash targets.
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -23,12 +23,6 @@
 constexpr Duration kMaxIdleRunOnce = 100_ms;
 /** Longest idle time of a connection for a repeatable request. */
 constexpr Duration kMaxIdleRepeatable = 10_s;
-/** Retry-After if targets refused the request or failed it without running it;
- * by then a full target has finished some of its work. */
-constexpr Duration kRetryAfterFull = 700_ms;
-/** Retry-After if no target can be chosen; by then a target that left or failed
- * is replaced or healthy again. */
-constexpr Duration kRetryAfterNoTarget = 1_s;
 /** Bytes of an unstreamed answer that count as progress; fewer may come from a
  * target that hangs but still sends single bytes. */
 constexpr size_t kProgressBytes = 256;
@@ -89,13 +83,13 @@
   }
   if (!placement) {
     FinishWithoutRetry(AttemptEnd{RunState::kNotRun, false},
-                       limit_wait_ ? kTargetLimit : "no-target");
+                       limit_wait_ ? kTargetLimit : kNoTarget);
     return;
   }
   if (sent_ == 0 && IsPrompt() && !CanFinishAt(*placement)) {
     const Duration wait(static_cast<int64_t>(placement->wait_ms_));
     Refuse(kUnavailable, "overloaded wait_ms=" + std::to_string(wait.Ms()),
-           RetryAfterOwnRefusal(wait));
+           ReturnTime(wait, TimeLeft()));
     return;
   }
   if (!placement->reservations_.empty()) {
@@ -421,14 +415,13 @@
   OnAttemptFailed(AttemptEnd{RunState::kMayHaveRun, false}, health, reason);
 }
 
-Duration Forward::RetryAfterOf(const std::string& reason) const {
+std::optional<Duration> Forward::RoomIn(const std::string& reason) const {
   if (reason == kTargetLimit) {
-    return limit_wait_.value_or(kRetryAfterNoTarget);
+    return limit_wait_;
   }
-  if (reason == kTooMuchMemory) {
-    return kRetryAfterMemory;
-  }
-  return reason == "no-target" ? kRetryAfterNoTarget : kRetryAfterFull;
+  return reason == kNoTarget
+             ? gateway_.GetPlacer().UntilUsable(gateway_.Now(), ToPlace())
+             : std::nullopt;
 }
 
 void Forward::FinishWithoutRetry(const AttemptEnd& end,
@@ -438,7 +431,7 @@
       PassTargetFailure();
       return;
     case FinalStep::kRefuse:
-      Refuse(kUnavailable, reason, RetryAfterOf(reason));
+      Refuse(kUnavailable, reason, ReturnTime(RoomIn(reason), TimeLeft()));
       return;
     case FinalStep::kFail:
     case FinalStep::kTruncateAnswer:
--- a/src/transport/gateway/forward_prompt.cc
+++ b/src/transport/gateway/forward_prompt.cc
@@ -82,7 +82,7 @@
     Refuse(
         kUnavailable,
         "overloaded by=leader wait_ms=" + std::to_string(refused->wait_.Ms()),
-        RetryAfterLeaderRefusal(refused->wait_));
+        ReturnTime(refused->wait_, TimeLeft()));
     return;
   }
   const auto* placed = std::get_if<PromptPlaced>(&answer);
--- a/tests/lease_wait_test.cc
+++ b/tests/lease_wait_test.cc
@@ -36,7 +36,7 @@
 TEST_CASE("lease wait: a request without the time for it is refused at once") {
   const LeaseDecision early = DecideLeaseWait(AfterRestart(0_ms), kCall, {});
   CHECK_FALSE(early.waits_);
-  CHECK(early.retry_after_ == 800_ms);
+  CHECK(early.lease_in_ == 800_ms);
   CHECK(DecideLeaseWait(AfterRestart(500_ms), kCall, {}).waits_);
   // Deadlines of another fleet: a note of two seconds waits, one of half a
   // second does not.
@@ -50,7 +50,7 @@
   slow.usual_election_ = 4_s;
   CHECK(DecideLeaseWait(slow, kNote, {}).waits_);
   CHECK_FALSE(DecideLeaseWait(slow, {2_s, 300_ms, 0}, {}).waits_);
-  CHECK(DecideLeaseWait(slow, {2_s, 300_ms, 0}, {}).retry_after_ == 3_s);
+  CHECK(DecideLeaseWait(slow, {2_s, 300_ms, 0}, {}).lease_in_ == 3_s);
 }
 
 TEST_CASE("lease wait: nobody waits at a gateway that is cut off") {
@@ -74,7 +74,7 @@
     CHECK(DecideLeaseWait(outlook, kNote, {}).waits_);
   }
   CHECK_FALSE(DecideLeaseWait(outlook, kCall, {}).waits_);
-  CHECK(DecideLeaseWait(outlook, kCall, {}).retry_after_ == 800_ms);
+  CHECK(DecideLeaseWait(outlook, kCall, {}).lease_in_ == 800_ms);
   // A gateway that started behind a cut does not let requests wait for long.
   outlook.running_ = 3_s;
   outlook.member_silence_ = 3_s;
