Wait for a lease, a leader or a permit by the work, not the objective

Callers saw: a request that could be served after an election was refused on a route with a long objective, and one on a route with a short objective waited although its work did not fit. Long prompts waited for a leader for a third of the objective: 0.5 s for reviews, less than an election takes.

Cause: lease_wait, forward_limit and forward_prompt took the objective for the time that the work takes, or a share of it.

Change: the work of a prompt is its prefill, split as far as it may be, and its answer; that of a call is a moving average of the answers of its service (AnswerTimes). A long prompt waits for the usual time of an election if it can still be finished after that, otherwise it is placed without the leader. The waits after a leader that is silent or gone are one constant.

--- a/src/coordination/gateway/lease_wait.cc
+++ b/src/coordination/gateway/lease_wait.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <optional>
 
+#include "coordination/gateway/admission_policy.h"
 #include "coordination/gateway/registry_type.h"
 
 namespace gv {
@@ -52,6 +53,10 @@
 
 }  // namespace
 
+Duration WaitForLeader(Duration time_left, Duration work, Duration election) {
+  return CanFinish(time_left, WorkLeft{election, work}) ? election : Duration();
+}
+
 LeaseDecision DecideLeaseWait(const LeaseOutlook& outlook,
                               const UnleasedRequest& request,
                               const HeldWork& held) {
@@ -59,8 +64,8 @@
   if (!wait) {
     return LeaseDecision{};
   }
-  const bool has_time = *wait + std::max(kMinServiceTime, request.objective_) <=
-                        request.time_left_;
+  const bool has_time =
+      *wait + std::max(kMinServiceTime, request.work_) <= request.time_left_;
   const bool has_memory = held.bytes_ + request.bytes_ <= kMaxHeldBytes;
   return LeaseDecision{has_time && has_memory, wait};
 }
--- a/src/coordination/gateway/lease_wait.h
+++ b/src/coordination/gateway/lease_wait.h
@@ -9,6 +9,11 @@
 
 namespace gv {
 
+/** @return How long a long prompt waits for a leader that can place it: for
+ * @p election, if its answer can still end after that, else not at all.
+ * @param work That it takes once it is placed. Thread safety: pure. */
+Duration WaitForLeader(Duration time_left, Duration work, Duration election);
+
 /** What a gateway without a lease knows about the members that grant it. */
 struct LeaseOutlook {
   Duration running_;  ///< Time since the start of this process.
@@ -26,7 +31,7 @@
 /** A request that needs the lease. */
 struct UnleasedRequest {
   Duration time_left_;  ///< Until its deadline.
-  Duration objective_;  ///< Of its route; zero if the route is not known.
+  Duration work_;       ///< That it takes, as far as is known; else zero.
   size_t bytes_ = 0;    ///< Memory that it takes while it waits.
 };
 
--- a/src/coordination/gateway/registry_limits.cc
+++ b/src/coordination/gateway/registry_limits.cc
@@ -7,10 +7,6 @@
 namespace gv {
 namespace {
 
-/** Time to return after a refusal by a gateway that does not lead; an election
- * is over by then. */
-constexpr Duration kWaitForLeader = 1_s;
-
 std::string LimitText(const TargetLimitRow& row) {
   return "per_second=" +
          (row.is_over_ ? "none" : std::to_string(row.per_second_)) +
@@ -65,7 +61,7 @@
   SyncLimits(now);
   LimitReply reply;
   reply.operation_ = ask.operation_;
-  reply.wait_ = kWaitForLeader;
+  reply.wait_ = kUsualElection;
   if (!IsActiveLeader(now)) {
     AnswerLimitAsk(from, ask, "cause=leader", std::move(reply), out);
     return;
--- a/src/coordination/gateway/registry_members.cc
+++ b/src/coordination/gateway/registry_members.cc
@@ -43,13 +43,8 @@
 }
 
 LeaseOutlook RegistryCore::OutlookOfLease(TimePoint now) const {
-  // Of the replicas whose timeouts are spread evenly, three or more, the first
-  // one to notice starts the election; then the votes and the polls follow.
-  constexpr int64_t kSpreadDivisor = 4;
   LeaseOutlook outlook;
-  outlook.usual_election_ = kElectionMin +
-                            (kElectionMax - kElectionMin) / kSpreadDivisor +
-                            kPollPeriodWithoutLease;
+  outlook.usual_election_ = kUsualElection;
   outlook.running_ = now - started_.value_or(now);
   const std::vector<NodeId> ids = MemberIds();
   if (ids.size() == 1 && ids.front() == settings_.self_) {
--- a/src/coordination/gateway/registry_type.h
+++ b/src/coordination/gateway/registry_type.h
@@ -59,6 +59,11 @@
 /** Election timeouts of the members' replicas. */
 inline constexpr Duration kElectionMin = 600_ms;
 inline constexpr Duration kElectionMax = 1100_ms;
+/** Usual time from the start of the members, or the loss of their leader, to
+ * the lease of a new one: of three or more replicas, whose timeouts are spread
+ * evenly, the first to notice starts the election; votes and polls follow. */
+inline constexpr Duration kUsualElection =
+    kElectionMin + (kElectionMax - kElectionMin) / 4 + kPollPeriodWithoutLease;
 /** Minimum time between two membership changes, so that each takes effect
  * before the next. */
 inline constexpr Duration kMembershipPeriod = 200_ms;
--- a/src/transport/gateway/forward.cc
+++ b/src/transport/gateway/forward.cc
@@ -70,6 +70,11 @@
                                              {path.data(), path.size()});
 }
 
+std::string Forward::ChosenService(const Route& route) const {
+  return RoutingTable::ChooseService(route,
+                                     std::hash<std::string>()(facts_.attempt_));
+}
+
 size_t Forward::HeldBytes() const {
   return request_.body().size() + kRequestOverheadBytes;
 }
@@ -106,7 +111,8 @@
   if (route != nullptr) {
     deadline =
         std::min(facts_.deadline_.value_or(route->timeout_), route->timeout_);
-    unleased.objective_ = route->objective_;
+    service_ = *gateway_.Table()->FindService(ChosenService(*route));
+    unleased.work_ = PredictedWork();
   }
   const TimePoint now = gateway_.Now();
   unleased.time_left_ = deadline - kAnswerMargin - (now - arrived_);
@@ -161,8 +167,7 @@
     Refuse(kUnauthorized, "unknown-key", Duration());
     return false;
   }
-  const uint64_t hash = std::hash<std::string>()(facts_.attempt_);
-  service_ = *table->FindService(RoutingTable::ChooseService(route_, hash));
+  service_ = *table->FindService(ChosenService(route_));
   const Duration deadline = facts_.deadline_.value_or(route_.timeout_);
   caller_deadline_ = arrived_ + std::min(deadline, route_.timeout_);
   answer_deadline_ =
@@ -196,6 +201,11 @@
   return true;
 }
 
+Duration Forward::PredictedWork() const {
+  return IsPrompt() ? Placer::ShortestWork(ToPlace())
+                    : gateway_.TimesOf(service_.name_).Usual();
+}
+
 bool Forward::IsPrompt() const {
   return service_.engine_.has_value() && facts_.prompt_tokens_ > 0;
 }
@@ -207,7 +217,7 @@
   constexpr uint64_t kParts = 64;
   const uint64_t hash = std::hash<std::string>()(facts_.attempt_);
   return ReturnAfter(RefusedRequest{
-      room_in, time_left, Placer::ShortestWork(ToPlace()),
+      room_in, time_left, PredictedWork(),
       static_cast<double>(hash % kParts) / static_cast<double>(kParts)});
 }
 
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -103,6 +103,7 @@
   void AdmitAndPlace();
   bool CanAdmit() const;
   const Route* FindRoute() const;
+  std::string ChosenService(const Route& route) const;
   void HoldOrRefuse();
   void StopWaitingForLease();
   size_t HeldBytes() const;
@@ -121,6 +122,9 @@
   void Log(EventId id, const std::string& detail) const;
   Duration TimeLeft() const;
   bool IsPrompt() const;
+  /** @return Time that the request takes without any waiting, as far as is
+   * known. */
+  Duration PredictedWork() const;
 
   // forward_attempt.cc: attempts at targets and their outcomes.
   PlacementRequest ToPlace() const;
--- a/src/transport/gateway/forward_answer.cc
+++ b/src/transport/gateway/forward_answer.cc
@@ -125,6 +125,9 @@
 }
 
 void Forward::PassWholeAnswer(const WholeAnswer& answer) {
+  if (attempt_ && !IsPrompt()) {
+    gateway_.TimesOf(service_.name_).Add(gateway_.Now() - attempt_->sent_at_);
+  }
   Log(EventId::kForwardFinished,
       "status=" + std::to_string(answer.status_) +
           " total_ms=" + std::to_string((gateway_.Now() - arrived_).Ms()));
--- a/src/transport/gateway/forward_limit.cc
+++ b/src/transport/gateway/forward_limit.cc
@@ -21,11 +21,11 @@
     return false;
   }
   limit_asked_ = true;
-  // The answer has to come in time after the wait.
-  AskForLimitPermit(targets,
-                    has_other
-                        ? Duration()
-                        : std::max(Duration(), TimeLeft() - route_.objective_));
+  AskForLimitPermit(
+      targets, has_other
+                   ? Duration()
+                   : std::max(Duration(),
+                              LatestFirstEvent(TimeLeft(), PredictedWork())));
   return true;
 }
 
--- a/src/transport/gateway/forward_prompt.cc
+++ b/src/transport/gateway/forward_prompt.cc
@@ -4,6 +4,8 @@
 #include <utility>
 
 #include "coordination/gateway/engine_model.h"
+#include "coordination/gateway/lease_wait.h"
+#include "coordination/gateway/registry_type.h"
 #include "transport/gateway/forward.h"
 #include "transport/gateway/gateway.h"
 
@@ -17,8 +19,6 @@
 /** Time after which the placement request of a short prompt times out if the
  * leader has not replied to any request since. */
 constexpr Duration kShortReplyTimeout = 100_ms;
-/** A long prompt waits for an election for its objective divided by this. */
-constexpr int64_t kLeaderWaitDivisor = 3;
 
 }  // namespace
 
@@ -29,10 +29,12 @@
   const bool is_long = gateway_.GetPlacer().IsLong(to_place);
   if (!gateway_.IsLeaderAvailable()) {
     // Without the leader all long prompts would be prefilled at the same time,
-    // and each would miss its objective.
+    // and each would take many times as long.
     if (leader_wait_deadline_ == TimePoint()) {
+      const TimePoint now = gateway_.Now();
       leader_wait_deadline_ =
-          gateway_.Now() + route_.objective_ / kLeaderWaitDivisor;
+          now + WaitForLeader(answer_deadline_ - now, PredictedWork(),
+                              kUsualElection);
     }
     waiting_for_leader_ = is_long && gateway_.Now() < leader_wait_deadline_;
     return waiting_for_leader_;
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "coordination/gateway/answer_times.h"
 #include "coordination/gateway/load_ledger.h"
 #include "coordination/gateway/placement.h"
 #include "coordination/gateway/prompt_scheduler.h"
@@ -66,6 +67,10 @@
   TargetPool& Pool() { return pool_; }
   /** @return Retries that this gateway may permit itself at a service. */
   RetryAllowance& Retries(const std::string& service);
+  /** @return Times of whole answers of a plain service. */
+  AnswerTimes& TimesOf(const std::string& service) {
+    return answer_times_[service];
+  }
   bool IsStopping() const { return stopping_; }
   /** @return Requests that wait for the lease of this gateway. */
   HeldWork& HeldRequests() { return held_requests_; }
@@ -295,7 +300,8 @@
   std::optional<RoutingTable> table_;  ///< Of the served configuration.
   uint64_t table_version_ = 0;         ///< Of table_.
   KnownRoutes known_routes_;           ///< Of the newest that was decoded.
-  std::map<std::string, RetryAllowance> retries_;  ///< By service.
+  std::map<std::string, RetryAllowance> retries_;    ///< By service.
+  std::map<std::string, AnswerTimes> answer_times_;  ///< By service.
   std::map<OperationId, std::function<void(bool)>>
       retry_asks_;                                    ///< Open at a leader.
   std::map<OperationId, OpenLimitAsk> limit_asks_;    ///< Open at a leader.
--- a/src/transport/gateway/gateway_limits.cc
+++ b/src/transport/gateway/gateway_limits.cc
@@ -4,13 +4,6 @@
 #include "transport/gateway/gateway.h"
 
 namespace gv {
-namespace {
-
-/** Wait after a leader that did not answer; by then there is another one. */
-constexpr Duration kWaitAfterSilence = 1_s;
-
-}  // namespace
-
 void Gateway::OnAnswerLimit(const TargetId& target, const AnswerFacts& facts,
                             TimePoint sent) {
   Outbox out(Endpoint{self_, Port::kControl});
@@ -76,7 +69,7 @@
   for (const auto& late : TakeIf(limit_asks_, is_late)) {
     LimitReply refused;
     refused.operation_ = late.key();
-    refused.wait_ = kWaitAfterSilence;
+    refused.wait_ = kUsualElection;
     late.mapped().done_(refused);
   }
 }
--- a/tests/lease_wait_test.cc
+++ b/tests/lease_wait_test.cc
@@ -45,6 +45,14 @@
       DecideLeaseWait(AfterRestart(0_ms), {500_ms, 100_ms, 0}, {}).waits_);
 }
 
+TEST_CASE("lease wait: a long prompt waits for a leader if it has the time") {
+  // Guards against a wait that is too short for an election on a route with a
+  // short objective, though the caller waits for 15 s.
+  CHECK(WaitForLeader(15_s, 3_s, 800_ms) == 800_ms);
+  CHECK(WaitForLeader(150_s, 30_s, 8_s) == 8_s);
+  CHECK(WaitForLeader(3500_ms, 3_s, 800_ms) == Duration());
+}
+
 TEST_CASE("lease wait: the wait follows the election time of the fleet") {
   LeaseOutlook slow = AfterRestart(1_s);
   slow.usual_election_ = 4_s;
