Decide by the pace of a target whether it has hung

Callers saw: a working engine was given up after 1.2 s or 2.5 objectives without a first event, and after 1.5 s or five pause objectives between two; a working call after two objectives. A change of objectives alone changed which targets were left.

Cause: ProgressTimeout and CallTimeout were multiples of the objectives; the reason given for 1.2 s was not a property of targets.

Change (silence_policy, pure): an engine may be silent for a pass in which all slots are decoded and each step reads a chunk, by its profile: one pass and twice the prediction before the first event, two passes between events. A call may take twice the time of nearly all answers of its service, and never so long that its remaining attempts have no time. Missing heartbeats count as before.

--- a/src/transport/gateway/forward_answer.cc
+++ b/src/transport/gateway/forward_answer.cc
@@ -2,6 +2,7 @@
  * that make no progress. */
 #include <algorithm>
 
+#include "coordination/gateway/silence_policy.h"
 #include "transport/gateway/forward.h"
 #include "transport/gateway/gateway.h"
 
@@ -13,21 +14,9 @@
 /** Bytes queued for the caller beyond which reading from the target pauses; it
  * resumes below half of this. */
 constexpr size_t kMaxUnsentBytes = 256UL << 10;
-/** Least timeout between two events; an engine that is decoding an answer sends
- * nothing for a few passes at most. */
-constexpr Duration kMinPauseTimeout = 1500_ms;
-/** Pause objectives that make up the timeout between two events; half of this
- * is the number of first-event objectives in the timeout of the first event. */
-constexpr int64_t kTimeoutObjectives = 5;
 constexpr int64_t kHalves = 2;
 /** Timeout without progress for a target whose heartbeats have stopped. */
 constexpr Duration kUnreachableTargetTimeout = 500_ms;
-/** Least timeout of the first event; callers of short streams disconnect after
- * two seconds. */
-constexpr Duration kMinFirstEventTimeout = 1200_ms;
-/** Multiple of its objective after which a safe call times out; a call that
- * takes twice its objective is probably at a target that hangs. */
-constexpr int64_t kCallTimeoutObjectives = 2;
 
 }  // namespace
 
@@ -150,14 +139,14 @@
   if (gateway_.Registry().Targets().IsUnreachable(attempt_->target_)) {
     return kUnreachableTargetTimeout;
   }
-  if (answer_begun_) {
-    return std::max(kMinPauseTimeout,
-                    route_.pause_objective_ * kTimeoutObjectives);
+  if (!service_.engine_) {
+    return CallTimeout();
   }
-  const Duration predicted(static_cast<int64_t>(attempt_->predicted_ms_));
-  return std::max(kMinFirstEventTimeout,
-                  route_.objective_ * kTimeoutObjectives / kHalves) +
-         predicted;
+  return answer_begun_
+             ? LongestPause(*service_.engine_)
+             : LongestFirstEvent(
+                   *service_.engine_,
+                   Duration(static_cast<int64_t>(attempt_->predicted_ms_)));
 }
 
 void Forward::ReportIfOverdue(TimePoint now) {
@@ -170,8 +159,9 @@
 }
 
 Duration Forward::CallTimeout() const {
-  constexpr Duration kMinCallTimeout = 200_ms;
-  return std::max(route_.objective_ * kCallTimeoutObjectives, kMinCallTimeout);
+  return LongestCall(gateway_.TimesOf(service_.name_).Longest(),
+                     answer_deadline_ - attempt_->sent_at_,
+                     route_.max_targets_ - sent_ + 1);
 }
 
 void Forward::CheckProgress(TimePoint now) {
