Measure weights of placement by the engine's event interval

Callers saw nothing on the present fleets; on one whose engines are ten times slower or faster, all prompts would have been long or short ones, and no part would have fitted beside an answer.

Cause: spans in milliseconds around objectives of 300 ms and pauses of 250 and 600 ms.

So 200 ms became 2 intervals, 120 and 100 ms 1.25 and 1, 400 ms 4, 170 ms 2, 90 ms 1, 60 ms 0.65.

Tests: those of placement, unchanged. No test plays a tenfold fleet through the placement yet.

--- a/src/coordination/gateway/engine_model.cc
+++ b/src/coordination/gateway/engine_model.cc
@@ -28,6 +28,10 @@
   return step * static_cast<double>(engine.steps_per_event_);
 }
 
+double FullIntervalMs(const EngineProfile& engine) {
+  return EventIntervalMs(engine, engine.slots_, engine.memory_tokens_);
+}
+
 double AnswerMs(const EngineProfile& engine, int64_t streams,
                 int64_t context_tokens, int64_t answer_tokens) {
   const double passes = std::ceil(static_cast<double>(answer_tokens) /
--- a/src/coordination/gateway/engine_model.h
+++ b/src/coordination/gateway/engine_model.h
@@ -20,6 +20,11 @@
 double EventIntervalMs(const EngineProfile& engine, int64_t streams,
                        int64_t context_tokens);
 
+/** @return EventIntervalMs() at an engine whose slots and memory are full: the
+ * measure of how much a prefill beside its answers matters. Thread safety:
+ * pure. */
+double FullIntervalMs(const EngineProfile& engine);
+
 /** @return Milliseconds to decode an answer of @p answer_tokens after its first
  * event. Thread safety: pure. */
 double AnswerMs(const EngineProfile& engine, int64_t streams,
--- a/src/coordination/gateway/placement.cc
+++ b/src/coordination/gateway/placement.cc
@@ -8,6 +8,18 @@
 #include "coordination/gateway/placement_weights.h"
 
 namespace gv {
+namespace {
+
+/** @return Prefill in milliseconds beyond which a prompt is a long one. */
+double LongPrefillMs(const EngineProfile& engine) {
+  return kLongPromptIntervals * FullIntervalMs(engine);
+}
+
+}  // namespace
+
+double MaxLongPartMs(const EngineProfile& engine) {
+  return kMaxLongPartIntervals * FullIntervalMs(engine);
+}
 
 const std::vector<const DirectoryEntry*>& Placer::ReadyEntries(
     const std::string& service) const {
@@ -78,9 +90,10 @@
   if (!request.service_->engine_ || request.prompt_tokens_ <= 0) {
     return {};
   }
+  const EngineProfile& engine = *request.service_->engine_;
   return Duration(static_cast<int64_t>(
-      ShortestWorkMs(*request.service_->engine_, request.prompt_tokens_,
-                     request.answer_tokens_, kMaxLongPartMs, kMaxHelpers)));
+      ShortestWorkMs(engine, request.prompt_tokens_, request.answer_tokens_,
+                     MaxLongPartMs(engine), kMaxHelpers)));
 }
 
 std::optional<Duration> Placer::UntilUsable(
@@ -240,7 +253,7 @@
                               std::vector<Candidate>& candidates) const {
   const EngineProfile& engine = *request.service_->engine_;
   const bool is_short =
-      PrefillMs(engine, request.prompt_tokens_) <= kLongPromptPrefillMs;
+      PrefillMs(engine, request.prompt_tokens_) <= LongPrefillMs(engine);
   SortByOrder(candidates);
   const size_t border = ShortZoneSize(now, engine, candidates.size());
   const auto middle = candidates.begin() + static_cast<std::ptrdiff_t>(border);
@@ -248,7 +261,7 @@
     return PlaceLong(request, {middle, candidates.end()});
   }
   Placement own = PlaceShort(request, {candidates.begin(), middle});
-  if (own.wait_ms_ <= kMaxOwnEngineWaitMs) {
+  if (own.wait_ms_ <= kMaxOwnEngineWaitIntervals * FullIntervalMs(engine)) {
     return own;
   }
   Placement other = PlaceShortAnywhere(request, std::move(candidates), border);
@@ -311,7 +324,8 @@
             });
   const double prefill_ms = PrefillMs(engine, request.prompt_tokens_);
   const int64_t helpers = HelperCount(
-      engine, request.prompt_tokens_, kMaxShortPartMs,
+      engine, request.prompt_tokens_,
+      kMaxShortPartIntervals * FullIntervalMs(engine),
       std::min<int64_t>(kMaxHelpers, static_cast<int64_t>(zone.size()) - 1));
   const double part_ms = prefill_ms / static_cast<double>(helpers + 1);
   Placement placement;
@@ -328,7 +342,7 @@
 bool Placer::IsLong(const PlacementRequest& request) const {
   return request.service_->engine_ && request.prompt_tokens_ > 0 &&
          PrefillMs(*request.service_->engine_, request.prompt_tokens_) >
-             kLongPromptPrefillMs;
+             LongPrefillMs(*request.service_->engine_);
 }
 
 Placement Placer::PlaceLong(const PlacementRequest& request,
@@ -367,7 +381,7 @@
   const EngineProfile& engine = *request.service_->engine_;
   const int64_t tokens = request.prompt_tokens_ + request.answer_tokens_;
   const int64_t count = HelperCount(
-      engine, request.prompt_tokens_, kMaxLongPartMs,
+      engine, request.prompt_tokens_, MaxLongPartMs(engine),
       std::min<int64_t>(kMaxHelpers, static_cast<int64_t>(helpers.size())));
   const double part_ms = PrefillMs(engine, request.prompt_tokens_) /
                          static_cast<double>(count + 1);
--- a/src/coordination/gateway/placement.h
+++ b/src/coordination/gateway/placement.h
@@ -19,6 +19,10 @@
 /** Most helpers that engines accept for one prompt. */
 inline constexpr int64_t kMaxHelpers = 16;
 
+/** @return Longest part of a long prompt in milliseconds, unless it has all
+ * the helpers that it may. Thread safety: pure. */
+double MaxLongPartMs(const EngineProfile& engine);
+
 /** Prefill of long prompts that was placed on an engine. */
 struct PendingPrefill {
   TimePoint until_;               ///< Predicted end of all prefill.
@@ -257,7 +261,8 @@
                                        const std::vector<EngineRow>& rows,
                                        const PlacementRequest& request) const;
   /** @return Penalty of an engine for long prompts, for a short prompt. */
-  double LongZonePenaltyMs(const EngineRow& row) const;
+  double LongZonePenaltyMs(const EngineProfile& engine,
+                           const EngineRow& row) const;
   Placement PlacePlainRequest(std::vector<Candidate>& candidates) const;
   Placement PlacePrompt(TimePoint now, const PlacementRequest& request,
                         std::vector<Candidate>& candidates) const;
--- a/src/coordination/gateway/placement_leader.cc
+++ b/src/coordination/gateway/placement_leader.cc
@@ -100,12 +100,13 @@
   return usable;
 }
 
-double Placer::LongZonePenaltyMs(const EngineRow& row) const {
+double Placer::LongZonePenaltyMs(const EngineProfile& engine,
+                                 const EngineRow& row) const {
   // A limited engine is used as far as it permits, or nobody would hear when
   // its limit is over.
   return limits_.IsLimited(row.candidate_.entry_->target_.id_)
              ? 0
-             : kLeaderLongZonePenaltyMs;
+             : kLeaderLongZonePenaltyIntervals * FullIntervalMs(engine);
 }
 
 double Placer::PermitWaitMs(TimePoint now, const PlacementRequest& request,
@@ -190,7 +191,9 @@
     }
     const double score =
         free[i].penalty_ms_ + WaitMs(engine, free[i], tokens) +
-        (free[i].load_.requests_ == 0 ? kNewOwnerPenaltyMs : 0);
+        (free[i].load_.requests_ == 0
+             ? kNewOwnerPenaltyIntervals * FullIntervalMs(engine)
+             : 0);
     if (!best || score < best_score) {
       best = i;
       best_score = score;
@@ -242,14 +245,16 @@
     all_suspected = all_suspected &&
                     engines[i]->candidate_.penalty_ms_ >= kSuspectedPenaltyMs;
     ConsiderForShort(now, request, *engines[i],
-                     i >= border ? LongZonePenaltyMs(*engines[i]) : 0, choice);
+                     i >= border ? LongZonePenaltyMs(engine, *engines[i]) : 0,
+                     choice);
   }
   for (const TargetId& kept : request.kept_) {
     const auto place = table.row_by_engine_.find(kept);
     if (place != table.row_by_engine_.end() && !IsTried(request, kept) &&
         limits_.HasPermit(now, kept)) {
       const EngineRow& row = table.rows_[place->second];
-      const double spill = place->second >= border ? LongZonePenaltyMs(row) : 0;
+      const double spill =
+          place->second >= border ? LongZonePenaltyMs(engine, row) : 0;
       ConsiderForShort(now, request, row, spill - kConnectionSetupMs, choice);
     }
   }
@@ -373,8 +378,8 @@
   std::erase_if(free, [](const Candidate& candidate) {
     return candidate.penalty_ms_ >= kSuspectedPenaltyMs;
   });
-  const auto wanted = static_cast<size_t>(
-      HelperCount(engine, request.prompt_tokens_, kMaxLongPartMs, kMaxHelpers));
+  const auto wanted = static_cast<size_t>(HelperCount(
+      engine, request.prompt_tokens_, MaxLongPartMs(engine), kMaxHelpers));
   const size_t helpers = std::min(wanted, free.size());
   idle -= idle > 0 && DecodesAt(owner) == DecodeKind::kNothing ? 1 : 0;
   const size_t least_helpers =
@@ -382,7 +387,8 @@
   const double part_ms = PrefillMs(engine, request.prompt_tokens_) /
                          static_cast<double>(helpers + 1);
   if (helpers < std::min(wanted, least_helpers) ||
-      part_ms > kMaxPartMs[static_cast<size_t>(decoding)]) {
+      part_ms > kMaxPartIntervals[static_cast<size_t>(decoding)] *
+                    FullIntervalMs(engine)) {
     return std::nullopt;
   }
   std::sort(free.begin(), free.end(),
--- a/src/coordination/gateway/placement_weights.h
+++ b/src/coordination/gateway/placement_weights.h
@@ -1,5 +1,6 @@
 /** @file placement_weights.h Thresholds and penalties of prompt placement.
- * Penalties are in milliseconds of predicted time to the first event. */
+ * Penalties are in milliseconds of predicted time to the first event; those in
+ * intervals are multiples of FullIntervalMs() of the engine. */
 #pragma once
 
 #include <array>
@@ -10,14 +11,13 @@
 
 namespace gv {
 
-/** Prompts with a longer prefill, in milliseconds, are placed as long prompts,
- * away from short answers: a pause of this length between two events still
- * meets the objective of short streams. */
-inline constexpr double kLongPromptPrefillMs = 200;
-/** Longest part of a long prompt that one engine prefills without a pause. */
-inline constexpr double kMaxLongPartMs = 120;
-/** Longest part on engines that decode short answers. */
-inline constexpr double kMaxShortPartMs = 100;
+/** Prompts with a longer prefill are placed as long prompts, away from short
+ * answers, which they would interrupt for that time. */
+inline constexpr double kLongPromptIntervals = 2;
+/** Longest part of a long prompt, unless it has all the helpers that it may. */
+inline constexpr double kMaxLongPartIntervals = 1.25;
+/** The same for a short prompt. */
+inline constexpr double kMaxShortPartIntervals = 1;
 /** Fraction of the slots that short streams should occupy, so that decode
  * passes stay short. */
 inline constexpr double kShortSlotUtilisation = 0.75;
@@ -39,18 +39,17 @@
 /** Short prompts with a longer predicted wait at their gateway's own engines
  * may go to any engine. A little more than the wait at an engine with one free
  * slot. */
-inline constexpr double kMaxOwnEngineWaitMs = 170;
+inline constexpr double kMaxOwnEngineWaitIntervals = 2;
 /** Least time that a short prompt must gain at another gateway's engine, whose
  * load this gateway knows less exactly. */
 inline constexpr double kMinOtherEngineGainMs = 40;
 /** Penalty of engines for long prompts when a gateway places a short prompt on
  * any engine. */
 inline constexpr double kLongZonePenaltyMs = 30;
-/** Penalty of engines for long prompts when the leader places a short prompt.
- * With three prompts that wait for their first event at each engine, these
- * still meet an objective of 300 ms, and each engine that decodes a short
- * answer is unavailable for long prompts. */
-inline constexpr double kLeaderLongZonePenaltyMs = 90;
+/** Penalty of engines for long prompts when the leader places a short prompt:
+ * each engine that decodes a short answer takes only small parts of long
+ * prompts. */
+inline constexpr double kLeaderLongZonePenaltyIntervals = 1;
 /** Approximate increase of the event interval next to the answer of a long
  * prompt. */
 inline constexpr double kLongAnswerPenaltyMs = 40;
@@ -73,16 +72,15 @@
 /** A long prompt is placed once one in so many idle engines is free: with fewer
  * its parts become longer, with more the free ones wait meanwhile. */
 inline constexpr size_t kFreeReaderDivisor = 3;
-/** Penalty of an engine that owns no prompt yet, as it is lost as a reader;
- * about one event interval. */
-inline constexpr double kNewOwnerPenaltyMs = 60;
-/** Longest part of a long prompt on an engine, by Placer::DecodeKind: the part
- * and one event interval stay below the pause objectives of the answers that
- * the engine decodes. */
-inline constexpr std::array<double, 3> kMaxPartMs{1e6, 400, 120};
+/** Penalty of an engine that owns no prompt yet, as it is lost as a reader. */
+inline constexpr double kNewOwnerPenaltyIntervals = 0.65;
+/** Longest part of a long prompt on an engine, by Placer::DecodeKind: how long
+ * the answers that it decodes may be interrupted. */
+inline constexpr std::array<double, 3> kMaxPartIntervals{1e6, 4, 1.25};
 /** Penalty for a long prompt per short stream in progress at an engine. */
 inline constexpr double kShortStreamPenaltyMs = 10;
-/** Penalty of a failed request, times the failure rate; about its objective. */
+/** Penalty of a failed request, times the failure rate: what a second attempt
+ * costs, among all other engines. */
 inline constexpr double kFailurePenaltyMs = 300;
 /** Penalty per stream in progress, as each makes decode passes a little longer.
  */
