Keep a queued prompt in its place while the leader is there

Callers saw: a prompt that the leader had queued was taken out again when no reply of the leader came for 100 ms, which at a gateway with few prompts is the rule; it was then placed without the leader or refused. Waits were too short to show it.

Cause: Forward::CheckLeaderTimeouts looked at replies to other prompts. Long prompts heard nothing until their latest time.

Change: the leader tells of long prompts too that they are queued. A queued prompt stays as long as the leader is available, and asks again every 2 s; the leader answers a repeated ask with what it answered before, so a reply that was lost with its connection costs 2 s and not the deadline. A placed prompt counts until the deadline of its caller in place of 10 or 30 s.

Tests: "leader: an ask that is repeated gets the same reply" (before, the prompt is placed twice), "leader: a placed prompt counts until the deadline of its caller" (before, until 10 s). Seen to fail: not run on the code before.

--- a/src/coordination/gateway/prompt_scheduler.cc
+++ b/src/coordination/gateway/prompt_scheduler.cc
@@ -10,11 +10,9 @@
 namespace gv {
 namespace {
 
-/** A long prompt counts as placed for the longest deadline at most, in case its
- * gateway failed and does not report its end. */
-constexpr Duration kLongPlacementExpiry = 30_s;
-/** The same for short prompts, whose answers take two to three seconds. */
-constexpr Duration kShortPlacementExpiry = 10_s;
+/** After the caller's deadline its gateway has ended a prompt and its report of
+ * that has come. */
+constexpr Duration kEndReportDelay = 1_s;
 /** A gateway with requests in progress reports its load several times in this
  * time, so one without a report has failed. */
 constexpr Duration kReportTimeout = 2_s;
@@ -208,8 +206,12 @@
     replies_.push_back({gateway, PromptRefused{ask.operation_, {}}});
     return;
   }
+  const Key key(gateway, ask.operation_);
+  if (Repeat(key)) {
+    return;
+  }
   QueuedPrompt queued;
-  queued.key_ = Key(gateway, ask.operation_);
+  queued.key_ = key;
   queued.ask_ = ask;
   queued.service_ = *service;
   queued.arrived_ = now;
@@ -224,6 +226,12 @@
   }
   long_queue_.insert(PlaceInQueue(long_queue_, queued), std::move(queued));
   PlaceQueuedLong(now);
+  if (std::any_of(long_queue_.begin(), long_queue_.end(),
+                  [&key](const QueuedPrompt& waiting) {
+                    return waiting.key_ == key;
+                  })) {
+    replies_.push_back({gateway, PromptQueued{ask.operation_}});
+  }
 }
 
 PromptScheduler::Queue::iterator PromptScheduler::PlaceInQueue(
@@ -320,14 +328,14 @@
   }
   PlacedPrompt placed{placed_work_.short_prompts_.Begin(now, placement.work_),
                       now,
-                      now + kShortPlacementExpiry,
+                      Expiry(queued),
                       TimePoint::Never(),
                       {},
-                      true};
+                      true,
+                      SendPlaced(now, queued, placement)};
   placed_[queued.key_] = std::move(placed);
   placed_work_.MarkChanged(placement.work_);
   kept_connections_.OnPlaced(queued.key_.first, placement.target_);
-  SendPlaced(now, queued, placement);
 }
 
 void PromptScheduler::OnPromptProgress(TimePoint now, const NodeId& gateway,
@@ -363,8 +371,33 @@
   }
 }
 
-void PromptScheduler::SendPlaced(TimePoint now, const QueuedPrompt& queued,
-                                 const Placement& placement) {
+TimePoint PromptScheduler::Expiry(const QueuedPrompt& queued) {
+  return queued.arrived_ +
+         std::max(queued.ask_.time_left_, queued.ask_.latest_) +
+         kEndReportDelay;
+}
+
+bool PromptScheduler::Repeat(const Key& key) {
+  const auto placed = placed_.find(key);
+  if (placed != placed_.end()) {
+    replies_.push_back({key.first, placed->second.reply_});
+    return true;
+  }
+  const auto has_key = [&key](const QueuedPrompt& queued) {
+    return queued.key_.second == key.second && queued.key_.first == key.first;
+  };
+  const bool is_queued =
+      std::any_of(short_queue_.begin(), short_queue_.end(), has_key) ||
+      std::any_of(long_queue_.begin(), long_queue_.end(), has_key);
+  if (is_queued) {
+    replies_.push_back({key.first, PromptQueued{key.second}});
+  }
+  return is_queued;
+}
+
+PromptPlaced PromptScheduler::SendPlaced(TimePoint now,
+                                         const QueuedPrompt& queued,
+                                         const Placement& placement) {
   PromptPlaced placed;
   placed.operation_ = queued.ask_.operation_;
   placed.target_ = placement.target_;
@@ -375,7 +408,8 @@
   placed.wait_ms_ = static_cast<int64_t>(placement.wait_ms_);
   placed.queued_ms_ = (now - queued.arrived_).Ms();
   placed.permitted_ = placer_.TakePermits(now, placement);
-  replies_.push_back({queued.key_.first, std::move(placed)});
+  replies_.push_back({queued.key_.first, placed});
+  return placed;
 }
 
 void PromptScheduler::Refuse(const QueuedPrompt& queued, double wait_ms) {
@@ -389,15 +423,16 @@
   const Duration predicted(static_cast<int64_t>(placement.wait_ms_));
   PlacedPrompt placed{placed_work_.long_prompts_.Begin(now, placement.work_),
                       now,
-                      now + kLongPlacementExpiry,
+                      Expiry(queued),
                       now + predicted * kOverdueFactor + kOverdueDelay,
-                      {}};
+                      {},
+                      false,
+                      SendPlaced(now, queued, placement)};
   for (const PrefillPart& part : placement.work_.parts_) {
     placed.readers_.push_back(part.target_);
   }
   placed_[queued.key_] = std::move(placed);
   StartPrefill(now, placement);
-  SendPlaced(now, queued, placement);
 }
 
 void PromptScheduler::OnTick(TimePoint now) {
--- a/src/coordination/gateway/prompt_scheduler.h
+++ b/src/coordination/gateway/prompt_scheduler.h
@@ -40,8 +40,9 @@
   /** @param placer Outlives the scheduler. */
   explicit PromptScheduler(const Placer& placer) : placer_(placer) {}
 
-  /** Places, queues or refuses a prompt. @param service Service that @p ask
-   * names, or nullptr if it is unknown: the prompt is then refused. */
+  /** Places, queues or refuses a prompt. An ask that is repeated, as the reply
+   * may have been lost, is answered as before. @param service Service that @p
+   * ask names, or nullptr if it is unknown: the prompt is then refused. */
   void OnPlacementRequest(TimePoint now, const NodeId& gateway,
                           const PromptAsk& ask, const Service* service);
   /** Handles the first event or the end of a placed prompt, or the end of a
@@ -100,6 +101,7 @@
     TimePoint prefill_overdue_;      ///< When prefill counts as done anyway.
     std::vector<TargetId> readers_;  ///< Engines that still prefill it.
     bool is_short_ = false;          ///< Selects the ledger.
+    PromptPlaced reply_;             ///< To its gateway.
   };
 
   static PlacementRequest ToPlacementRequest(const QueuedPrompt& queued);
@@ -155,8 +157,14 @@
    * short prompt of its rank or a higher one late. */
   bool DelaysOthers(TimePoint now, const SlotTurnover& turnover, size_t place,
                     int64_t rank) const;
-  void SendPlaced(TimePoint now, const QueuedPrompt& queued,
-                  const Placement& placement);
+  /** Answers a repeated ask. @return False if the prompt is not known. */
+  bool Repeat(const Key& key);
+  /** @return The reply that was sent. */
+  PromptPlaced SendPlaced(TimePoint now, const QueuedPrompt& queued,
+                          const Placement& placement);
+  /** @return When a prompt that is placed now counts as ended, in case its
+   * gateway failed and does not report its end. */
+  static TimePoint Expiry(const QueuedPrompt& queued);
   void Refuse(const QueuedPrompt& queued, double wait_ms);
   /** Counts a long prompt as placed and tells its gateway. */
   void CommitLong(TimePoint now, const QueuedPrompt& queued,
--- a/src/protocol/registry_messages.h
+++ b/src/protocol/registry_messages.h
@@ -213,7 +213,7 @@
   Duration wait_;          ///< Predicted.
 };
 
-/** The leader to a gateway: a short prompt waits for a free slot. */
+/** The leader to a gateway: a prompt waits for engines. */
 struct PromptQueued {
   OperationId operation_;  ///< Copied.
 };
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -194,6 +194,7 @@
 
   // forward_prompt.cc: placement of prompts by the leader.
   bool RequestPlacement(const PlacementRequest& to_place);
+  PromptAsk MakePromptAsk() const;
   void OnPlacementReply(const Message& answer);
   void CheckLeaderTimeouts(TimePoint now);
   void EndLeaderRequest();
@@ -275,10 +276,10 @@
   bool waiting_for_leader_ = false;
   /** End of the wait for an available leader; unset if not waiting. */
   TimePoint leader_wait_deadline_;
-  /** Time of the placement request, or of the last check that the leader
-   * still replies. */
+  /** Time of the placement request. */
   TimePoint leader_asked_at_;
-  /** Time at which the placement request times out; unset if not waiting. */
+  /** Time at which the placement request times out, or is repeated if the
+   * leader has queued it; unset if not waiting. */
   TimePoint leader_reply_deadline_;
 
   /** Placement whose reservations are not all confirmed. */
--- a/src/transport/gateway/forward_prompt.cc
+++ b/src/transport/gateway/forward_prompt.cc
@@ -13,12 +13,12 @@
 namespace {
 
 constexpr unsigned kUnavailable = 503;
-/** Time after the latest start of a long prompt at which its placement request
- * times out. */
-constexpr Duration kLongReplyMargin = 300_ms;
-/** Time after which the placement request of a short prompt times out if the
- * leader has not replied to any request since. */
-constexpr Duration kShortReplyTimeout = 100_ms;
+/** Time after which a placement request times out if the leader has not replied
+ * to any request since. */
+constexpr Duration kReplyTimeout = 100_ms;
+/** Period at which the placement request of a queued prompt is repeated, as its
+ * reply is lost if the connection breaks. */
+constexpr Duration kRepeatPeriod = 2_s;
 
 }  // namespace
 
@@ -46,26 +46,29 @@
         gateway_.Now(), PrefillMs(*service_.engine_, to_place.prompt_tokens_));
   }
   const TimePoint now = gateway_.Now();
+  leader_asked_at_ = now;
+  leader_reply_deadline_ = now + kReplyTimeout;
+  const auto self = shared_from_this();
+  leader_operation_ = gateway_.SendPlacementRequest(
+      MakePromptAsk(),
+      [self](const Message& answer) { self->OnPlacementReply(answer); });
+  return true;
+}
+
+PromptAsk Forward::MakePromptAsk() const {
   PromptAsk request;
   request.service_ = service_.name_;
-  request.prompt_tokens_ = to_place.prompt_tokens_;
-  request.answer_tokens_ = to_place.answer_tokens_;
+  request.prompt_tokens_ = facts_.prompt_tokens_;
+  request.answer_tokens_ = facts_.answer_tokens_;
   request.tried_ = tried_;
   for (TargetId& target : gateway_.Suspected()) {
     request.tried_.push_back(std::move(target));
   }
-  request.time_left_ = answer_deadline_ - now;
+  request.time_left_ = answer_deadline_ - gateway_.Now();
   request.latest_ = request.time_left_;
   request.order_ = request.latest_;
   request.rank_ = priority_;
-  leader_asked_at_ = now;
-  leader_reply_deadline_ =
-      now + (is_long ? request.latest_ + kLongReplyMargin : kShortReplyTimeout);
-  const auto self = shared_from_this();
-  leader_operation_ = gateway_.SendPlacementRequest(
-      std::move(request),
-      [self](const Message& answer) { self->OnPlacementReply(answer); });
-  return true;
+  return request;
 }
 
 void Forward::OnPlacementReply(const Message& answer) {
@@ -138,15 +141,23 @@
     StartAttempt();
     return;
   }
-  if (now < leader_reply_deadline_) {
+  const bool is_queued =
+      leader_operation_ && gateway_.IsQueuedAtLeader(*leader_operation_);
+  if (now < leader_reply_deadline_ &&
+      (!is_queued || gateway_.IsLeaderAvailable())) {
+    return;
+  }
+  if (is_queued && gateway_.IsLeaderAvailable()) {
+    if (now - leader_asked_at_ >= kRepeatPeriod) {
+      gateway_.RepeatPlacementRequest(*leader_operation_, MakePromptAsk());
+    }
+    leader_reply_deadline_ = now + kRepeatPeriod;
     return;
   }
-  const bool is_long =
-      leader_reply_deadline_ - leader_asked_at_ > kShortReplyTimeout;
-  if (!is_long && gateway_.LastLeaderReply() >= leader_asked_at_) {
-    // The leader still replies, so the prompt is queued for a free slot.
+  if (!is_queued && gateway_.LastLeaderReply() >= leader_asked_at_) {
+    // The leader replies to others, so its reply is on its way.
     leader_asked_at_ = now;
-    leader_reply_deadline_ = now + kShortReplyTimeout;
+    leader_reply_deadline_ = now + kReplyTimeout;
     return;
   }
   leader_reply_deadline_ = TimePoint();
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -141,6 +141,10 @@
                                    std::function<void(const Message&)> done);
   /** @return The leader that was asked, or none if it is forgotten. */
   NodeId LeaderOfRequest(OperationId operation) const;
+  /** @return True if the leader has queued the prompt. */
+  bool IsQueuedAtLeader(OperationId operation) const;
+  /** Sends the placement request again, in case the reply was lost. */
+  void RepeatPlacementRequest(OperationId operation, PromptAsk ask);
   /** Tells the leader how a prompt goes on. @param target Where it ended. */
   void ReportPromptProgress(OperationId operation, bool ended,
                             const TargetId& target, HealthOutcome outcome);
@@ -195,6 +199,7 @@
   /** A prompt that the leader knows of. */
   struct OpenPlacementRequest {
     NodeId leader_;                             ///< Who was asked.
+    bool is_queued_ = false;                    ///< The leader has it queued.
     std::function<void(const Message&)> done_;  ///< Until it has answered.
   };
   /** A request for a permit that is open at the leader. */
--- a/src/transport/gateway/gateway_prompts.cc
+++ b/src/transport/gateway/gateway_prompts.cc
@@ -37,7 +37,7 @@
   last_placement_request_ = last_placement_request_.Next();
   ask.operation_ = last_placement_request_;
   placement_requests_[last_placement_request_] =
-      OpenPlacementRequest{registry_.Leader(), std::move(done)};
+      OpenPlacementRequest{registry_.Leader(), false, std::move(done)};
   SendToLeader(registry_.Leader(), std::move(ask));
   return last_placement_request_;
 }
@@ -47,6 +47,16 @@
   return found == placement_requests_.end() ? NodeId() : found->second.leader_;
 }
 
+bool Gateway::IsQueuedAtLeader(OperationId operation) const {
+  const auto found = placement_requests_.find(operation);
+  return found != placement_requests_.end() && found->second.is_queued_;
+}
+
+void Gateway::RepeatPlacementRequest(OperationId operation, PromptAsk ask) {
+  ask.operation_ = operation;
+  SendToLeader(LeaderOfRequest(operation), std::move(ask));
+}
+
 void Gateway::ReportPromptProgress(OperationId operation, bool ended,
                                    const TargetId& target,
                                    HealthOutcome outcome) {
@@ -90,8 +100,12 @@
     scheduler_.OnPromptProgress(Now(), from, *step);
   } else if (const auto* placed = std::get_if<PromptPlaced>(&body)) {
     HandlePlacementReply(placed->operation_, body);
-  } else if (std::holds_alternative<PromptQueued>(body)) {
+  } else if (const auto* queued = std::get_if<PromptQueued>(&body)) {
     last_leader_reply_ = Now();
+    const auto found = placement_requests_.find(queued->operation_);
+    if (found != placement_requests_.end()) {
+      found->second.is_queued_ = true;
+    }
   } else if (const auto* refused = std::get_if<PromptRefused>(&body)) {
     HandlePlacementReply(refused->operation_, body);
   } else {
--- a/tests/prompt_scheduler_test.cc
+++ b/tests/prompt_scheduler_test.cc
@@ -452,6 +452,58 @@
   CHECK(TakeRepliesByKind(scheduler).placed_.size() == 1);
 }
 
+TEST_CASE("leader: an ask that is repeated gets the same reply") {
+  // Guards against a prompt that waits at its gateway until its deadline, as
+  // the connection broke that carried the reply, and against placing it twice.
+  TargetDirectory directory;
+  AddEngines(directory, 1, 1);
+  PlacementFixture leader("g0", directory);
+  PromptScheduler scheduler(leader.placer_);
+  EngineProfile engine = GrownEngine();
+  engine.slots_ = 1;
+  const Service service{"model", 398, engine};
+  for (const int64_t prompt : {4960, 45000}) {
+    const uint64_t first = prompt == 4960 ? 1 : 11;
+    const auto ask = [&](uint64_t id) {
+      scheduler.OnPlacementRequest(TimePoint(0), NodeId("g1"),
+                                   MakeAsk(id, prompt, 20_s), &service);
+      return TakeRepliesByKind(scheduler);
+    };
+    const Replies placed = ask(first);
+    REQUIRE(placed.placed_.size() == 1);
+    const Replies again = ask(first);
+    REQUIRE(again.placed_.size() == 1);
+    CHECK(again.placed_[0].target_ == placed.placed_[0].target_);
+    CHECK(ask(first + 1).queued_.size() == 1);
+    CHECK(ask(first + 1).queued_.size() == 1);
+    CHECK(scheduler.QueuedCount() == 1);
+    for (const uint64_t id : {first, first + 1}) {
+      scheduler.OnPromptProgress(TimePoint(10), NodeId("g1"),
+                                 PromptStep{OperationId(id), true, {}, {}});
+    }
+    TakeRepliesByKind(scheduler);
+  }
+}
+
+TEST_CASE("leader: a placed prompt counts until the deadline of its caller") {
+  TargetDirectory directory;
+  AddEngines(directory, 1, 1);
+  PlacementFixture leader("g0", directory);
+  PromptScheduler scheduler(leader.placer_);
+  EngineProfile engine = GrownEngine();
+  engine.slots_ = 1;
+  const Service service{"model", 398, engine};
+  scheduler.OnPlacementRequest(TimePoint(0), NodeId("g1"),
+                               MakeAsk(1, 4960, 40_s), &service);
+  scheduler.OnPlacementRequest(TimePoint(1), NodeId("g1"),
+                               MakeAsk(2, 4960, 60_s), &service);
+  CHECK(TakeRepliesByKind(scheduler).placed_.size() == 1);
+  scheduler.OnTick(TimePoint(39000));
+  CHECK(TakeRepliesByKind(scheduler).placed_.empty());
+  scheduler.OnTick(TimePoint(42000));
+  CHECK(TakeRepliesByKind(scheduler).placed_.size() == 1);
+}
+
 TEST_CASE(
     "leader: prompts of a gateway without reports are removed after 2 s") {
   TargetDirectory directory;
