Learn how long callers wait for the first event

Callers saw: in a queue longer than they wait, all of them would wait in vain and then disconnect, as PROTOCOL says of streams.

Cause: only the deadline was known.

Change: CallerPatience keeps, for each route and range of waits, the share of callers that disconnect; the wait by which most have left bounds the wait for the first event.

--- a/src/coordination/gateway/admission_policy.cc
+++ b/src/coordination/gateway/admission_policy.cc
@@ -14,8 +14,10 @@
 
 }  // namespace
 
-bool CanFinish(Duration time_left, const WorkLeft& work) {
-  return work.first_event_ <= LatestFirstEvent(time_left, work.answer_);
+bool CanFinish(const CallerTime& time, const WorkLeft& work) {
+  return work.first_event_ <=
+         std::min(time.ForFirstEvent(),
+                  LatestFirstEvent(time.left_, work.answer_));
 }
 
 Duration LatestFirstEvent(Duration time_left, Duration answer) {
--- a/src/coordination/gateway/admission_policy.h
+++ b/src/coordination/gateway/admission_policy.h
@@ -2,6 +2,7 @@
  * their callers, and when the caller of a refused one should return. */
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 
@@ -15,13 +16,23 @@
   Duration answer_;       ///< From there to the end of its answer.
 };
 
+/** Time that a caller gives its request. */
+struct CallerTime {
+  Duration left_;  ///< Until its deadline.
+  /** Until callers usually disconnect without a first event, if known. */
+  std::optional<Duration> until_leaves_;
+  /** @return Longest time to a first event that the caller waits for. */
+  Duration ForFirstEvent() const {
+    return std::min(left_, until_leaves_.value_or(left_));
+  }
+};
+
 /**
  * Load pattern: a crest that needs more engines than there are. Who can still
  * get a whole answer waits for it; everyone else is told at once.
- * @param time_left Until the caller stops waiting.
  * @return True if the caller can get its whole answer. Thread safety: pure.
  */
-bool CanFinish(Duration time_left, const WorkLeft& work);
+bool CanFinish(const CallerTime& time, const WorkLeft& work);
 
 /** @return Longest time to the first event of a request whose answer takes @p
  * answer; negative if it cannot be finished. Thread safety: pure. */
--- a/src/coordination/gateway/lease_wait.cc
+++ b/src/coordination/gateway/lease_wait.cc
@@ -54,7 +54,9 @@
 }  // namespace
 
 Duration WaitForLeader(Duration time_left, Duration work, Duration election) {
-  return CanFinish(time_left, WorkLeft{election, work}) ? election : Duration();
+  return CanFinish(CallerTime{time_left, {}}, WorkLeft{election, work})
+             ? election
+             : Duration();
 }
 
 LeaseDecision DecideLeaseWait(const LeaseOutlook& outlook,
--- a/src/transport/gateway/forward.cc
+++ b/src/transport/gateway/forward.cc
@@ -206,6 +206,15 @@
                     : gateway_.TimesOf(service_.name_).Usual();
 }
 
+CallerTime Forward::TimeOfCaller() const {
+  const TimePoint now = gateway_.Now();
+  CallerTime time{answer_deadline_ - now, {}};
+  if (const auto patience = gateway_.PatienceOf(route_.name_).Longest(now)) {
+    time.until_leaves_ = *patience - (now - arrived_);
+  }
+  return time;
+}
+
 bool Forward::IsPrompt() const {
   return service_.engine_.has_value() && facts_.prompt_tokens_ > 0;
 }
@@ -295,6 +304,10 @@
           " events=" + std::to_string(events_.Count()) +
           " waited_ms=" + std::to_string((gateway_.Now() - arrived_).Ms()));
   gateway_.Count(route_.kind_, "abandoned");
+  if (IsPrompt() && !answer_begun_) {
+    gateway_.PatienceOf(route_.name_)
+        .OnLeft(gateway_.Now(), gateway_.Now() - arrived_);
+  }
   End();
 }
 
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -125,6 +125,7 @@
   /** @return Time that the request takes without any waiting, as far as is
    * known. */
   Duration PredictedWork() const;
+  CallerTime TimeOfCaller() const;
 
   // forward_attempt.cc: attempts at targets and their outcomes.
   PlacementRequest ToPlace() const;
--- a/src/transport/gateway/forward_answer.cc
+++ b/src/transport/gateway/forward_answer.cc
@@ -36,6 +36,9 @@
                                   HealthOutcome::kUnknown);
   }
   first_event_time_ = gateway_.Now();
+  if (IsPrompt()) {
+    gateway_.PatienceOf(route_.name_).OnServed(first_event_time_ - arrived_);
+  }
   caller_->BeginParts(attempt_->status_, AnswerFields(), gateway_.IsStopping());
   gateway_.ObserveFirstEvent(route_.kind_, first_event_time_ - arrived_);
 }
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -101,7 +101,7 @@
 
 bool Forward::CanFinishAt(const Placement& placement) const {
   return CanFinish(
-      answer_deadline_ - gateway_.Now(),
+      TimeOfCaller(),
       WorkLeft{Duration(static_cast<int64_t>(placement.wait_ms_)),
                Duration(static_cast<int64_t>(placement.answer_ms_))});
 }
--- a/src/transport/gateway/forward_prompt.cc
+++ b/src/transport/gateway/forward_prompt.cc
@@ -64,8 +64,10 @@
   for (TargetId& target : gateway_.Suspected()) {
     request.tried_.push_back(std::move(target));
   }
-  request.time_left_ = answer_deadline_ - gateway_.Now();
-  request.latest_ = request.time_left_;
+  const CallerTime time = TimeOfCaller();
+  request.time_left_ = time.left_;
+  // What was sent before may have begun its answer, and is not refused.
+  request.latest_ = sent_ > 0 ? time.left_ : time.ForFirstEvent();
   request.order_ = request.latest_;
   request.rank_ = priority_;
   return request;
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include <unordered_map>
 
 #include "coordination/gateway/answer_times.h"
+#include "coordination/gateway/caller_patience.h"
 #include "coordination/gateway/load_ledger.h"
 #include "coordination/gateway/placement.h"
 #include "coordination/gateway/prompt_scheduler.h"
@@ -71,6 +72,10 @@
   AnswerTimes& TimesOf(const std::string& service) {
     return answer_times_[service];
   }
+  /** @return How long the callers of a route wait for the first event. */
+  CallerPatience& PatienceOf(const std::string& route) {
+    return patience_[route];
+  }
   bool IsStopping() const { return stopping_; }
   /** @return Requests that wait for the lease of this gateway. */
   HeldWork& HeldRequests() { return held_requests_; }
@@ -307,6 +312,7 @@
   KnownRoutes known_routes_;           ///< Of the newest that was decoded.
   std::map<std::string, RetryAllowance> retries_;    ///< By service.
   std::map<std::string, AnswerTimes> answer_times_;  ///< By service.
+  std::map<std::string, CallerPatience> patience_;   ///< By route.
   std::map<OperationId, std::function<void(bool)>>
       retry_asks_;                                    ///< Open at a leader.
   std::map<OperationId, OpenLimitAsk> limit_asks_;    ///< Open at a leader.
--- a/tests/admission_policy_test.cc
+++ b/tests/admission_policy_test.cc
@@ -12,9 +12,11 @@
   // refuse a caller who still has the time.
   for (const int64_t scale : {1, 10}) {
     const WorkLeft work{3_s * scale, 2_s * scale};
-    CHECK(CanFinish(5_s * scale, work));
-    CHECK(CanFinish(60_s * scale, work));
-    CHECK_FALSE(CanFinish(4900_ms * scale, work));
+    CHECK(CanFinish({5_s * scale, {}}, work));
+    CHECK(CanFinish({60_s * scale, {}}, work));
+    CHECK_FALSE(CanFinish({4900_ms * scale, {}}, work));
+    CHECK(CanFinish({60_s * scale, 3_s * scale}, work));
+    CHECK_FALSE(CanFinish({60_s * scale, 2900_ms * scale}, work));
     CHECK(LatestFirstEvent(10_s * scale, work.answer_) == 8_s * scale);
   }
   CHECK(LatestFirstEvent(1_s, 2_s) < Duration());
