--- a/src/state/routing_type.h
+++ b/src/state/routing_type.h
@@ -36,14 +36,15 @@
 
 /** Where requests of one host and path prefix go, and how they are treated. */
 struct Route {
-  std::string name_;                     ///< For logs.
-  std::string host_;                     ///< Value of Host, in lower case.
-  std::string prefix_;                   ///< Begins and ends with a slash.
-  RouteKind kind_ = RouteKind::kSafe;    ///< What may be repeated.
-  Duration timeout_;                     ///< Longest time for one request.
-  Duration objective_;                   ///< Time to the first event or answer.
-  Duration pause_objective_;             ///< Longest pause between two events.
-  int64_t priority_ = 0;                 ///< Zero is the most urgent.
+  std::string name_;                   ///< For logs.
+  std::string host_;                   ///< Value of Host, in lower case.
+  std::string prefix_;                 ///< Begins and ends with a slash.
+  RouteKind kind_ = RouteKind::kSafe;  ///< What may be repeated.
+  Duration timeout_;                   ///< Longest time for one request.
+  Duration objective_;        ///< For log lines: wanted time to the first
+                              ///< event or answer.
+  Duration pause_objective_;  ///< For log lines: wanted longest pause.
+  int64_t priority_ = 0;      ///< Zero is the most urgent.
   std::vector<ServiceWeight> services_;  ///< Never empty.
   int64_t max_targets_ = 1;  ///< Targets that one request may be sent to.
   bool anonymous_ = false;   ///< Needs no API key.
--- a/src/state/table/request_causes.h
+++ b/src/state/table/request_causes.h
@@ -15,8 +15,10 @@
 };
 
 inline constexpr auto kRequestCauses = std::to_array<RequestCause>({
-    {"overloaded", "the first event was predicted after the route's objective",
-     "wait_ms, other gateways' forward-sent lines at that time"},
+    {"overloaded",
+     "the whole answer could not have ended in the caller's time, or not begun "
+     "before callers of the route disconnect",
+     "wait_ms and left_ms, other gateways' forward-sent lines at that time"},
     {"no-lease", "no leader granted a lease within the revocation bound",
      "dependency-lost, leader-elected, disks of the members"},
     {"no-configuration", "the process has had no configuration since its start",
--- a/src/transport/gateway/forward_answer.cc
+++ b/src/transport/gateway/forward_answer.cc
@@ -100,6 +100,9 @@
           " events=" + std::to_string(events_.Count()) +
           " first_ms=" + std::to_string((first_event_time_ - arrived_).Ms()) +
           " pause_ms=" + std::to_string(longest_pause_.Ms()) +
+          " objective_ms=" + std::to_string(route_.objective_.Ms()) +
+          " pause_objective_ms=" +
+          std::to_string(route_.pause_objective_.Ms()) +
           " total_ms=" + std::to_string((gateway_.Now() - arrived_).Ms()) +
           " prompt=" + std::to_string(facts_.prompt_tokens_) +
           " helpers=" + std::to_string(helper_count_) +
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -88,7 +88,9 @@
   }
   if (sent_ == 0 && IsPrompt() && !CanFinishAt(*placement)) {
     const Duration wait(static_cast<int64_t>(placement->wait_ms_));
-    Refuse(kUnavailable, "overloaded wait_ms=" + std::to_string(wait.Ms()),
+    Refuse(kUnavailable,
+           "overloaded wait_ms=" + std::to_string(wait.Ms()) +
+               " left_ms=" + std::to_string(TimeLeft().Ms()),
            ReturnTime(wait, TimeLeft()));
     return;
   }
--- a/src/transport/gateway/forward_prompt.cc
+++ b/src/transport/gateway/forward_prompt.cc
@@ -88,7 +88,8 @@
     }
     Refuse(
         kUnavailable,
-        "overloaded by=leader wait_ms=" + std::to_string(refused->wait_.Ms()),
+        "overloaded by=leader wait_ms=" + std::to_string(refused->wait_.Ms()) +
+            " left_ms=" + std::to_string(TimeLeft().Ms()),
         ReturnTime(refused->wait_, TimeLeft()));
     return;
   }
--- a/src/transport/gateway/gateway_calls.cc
+++ b/src/transport/gateway/gateway_calls.cc
@@ -18,10 +18,9 @@
   return MakeReply(status, "application/json", std::move(body));
 }
 
-/** Buckets of the histogram of first events, in milliseconds; around the
- * objectives that users set. */
+/** Buckets of the histogram of first events, in milliseconds. */
 const prometheus::Histogram::BucketBoundaries kFirstEventBuckets{
-    20, 50, 100, 200, 300, 500, 1000, 1500, 2000, 3000, 4000, 6000, 10000};
+    10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000, 20000, 50000};
 
 }  // namespace
 
