Number placement requests anew after a restart

Change: the first number comes from the address and the time of the start, as for the registry's operations. No test: two starts of one gateway within the leader's memory are not played by a rig; the soak restarts gateways so.

--- a/src/transport/gateway/gateway.cc
+++ b/src/transport/gateway/gateway.cc
@@ -53,6 +53,15 @@
   return (set > 0 ? set : kUnknownMachine) * kMegabyte / kMemoryDivisor;
 }
 
+/** @return A number that ids of operations count up from half of. They must
+ * differ from those before a restart, as answers to these may still arrive and
+ * the leader may still hold their prompts. */
+uint64_t SeedOfStart(const ProcessSettings& settings) {
+  const std::string start =
+      settings.listen_peers_ + "/" + std::to_string(WallMs());
+  return XXH3_64bits(start.data(), start.size());
+}
+
 RegistrySettings MakeRegistrySettings(const ProcessSettings& settings) {
   RegistrySettings registry;
   registry.self_ = NodeId(settings.listen_peers_);
@@ -60,14 +69,10 @@
   registry.has_disk_ = !settings.data_folder_.empty();
   registry.tolerated_losses_ = settings.gateway_tolerated_losses_;
   registry.revocation_bound_ = Duration(settings.gateway_revocation_ms_);
-  // Ids of operations must differ from those before a restart, as late answers
-  // may still arrive.
-  const std::string start =
-      settings.listen_peers_ + "/" + std::to_string(WallMs());
   registry.retries_.ratio_ = settings.gateway_retry_ratio_;
   registry.retries_.window_ = Duration(settings.gateway_retry_window_ms_);
   registry.retries_.slack_ = settings.gateway_retry_slack_;
-  registry.seed_ = XXH3_64bits(start.data(), start.size());
+  registry.seed_ = SeedOfStart(settings);
   return registry;
 }
 
@@ -120,6 +125,7 @@
                }),
       tick_(io_),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
+      last_placement_request_(SeedOfStart(settings_) / 2),
       events_(prometheus::BuildCounter()
                   .Name("gooseberryvale_events_total")
                   .Help("Events by name")
