--- a/src/coordination/gateway/lease_wait.cc
+++ b/src/coordination/gateway/lease_wait.cc
@@ -67,7 +67,8 @@
     return LeaseDecision{};
   }
   const bool has_time =
-      *wait + std::max(kMinServiceTime, request.work_) <= request.time_left_;
+      CanFinish(CallerTime{request.time_left_, {}},
+                WorkLeft{*wait, std::max(kMinServiceTime, request.work_)});
   const bool has_memory = held.bytes_ + request.bytes_ <= kMaxHeldBytes;
   return LeaseDecision{has_time && has_memory, wait};
 }
--- a/src/coordination/gateway/silence_policy.cc
+++ b/src/coordination/gateway/silence_policy.cc
@@ -23,7 +23,7 @@
       PrefillMs(engine, engine.usual_prompt_tokens_ + engine.chunk_tokens_) -
       PrefillMs(engine, engine.usual_prompt_tokens_);
   return Duration(static_cast<int64_t>(
-      EventIntervalMs(engine, engine.slots_, engine.memory_tokens_) +
+      FullIntervalMs(engine) +
       chunk_ms * static_cast<double>(engine.steps_per_event_)));
 }
 
