Split outcomes of attempts from their sending

No change of behaviour: what comes back from an attempt moves to forward_outcome.cc as it is. gateway_path_test and gateway_trouble_test pass.

--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -127,7 +127,7 @@
   Duration PredictedWork() const;
   CallerTime TimeOfCaller() const;
 
-  // forward_attempt.cc: attempts at targets and their outcomes.
+  // forward_attempt.cc: attempts at targets.
   PlacementRequest ToPlace() const;
   void StartAttempt();
   /** @return True if the caller gets its whole answer in time. */
@@ -137,6 +137,8 @@
   std::string BuildRequest(const Placement& placement) const;
   std::vector<std::string> HelperList(const Placement& placement) const;
   ExchangeHandler MakeHandler();
+
+  // forward_outcome.cc: what comes back from an attempt, and what follows.
   void OnUnparsed(size_t bytes);
   void OnHead(unsigned status, const HttpFields& fields);
   void OnBody(const std::string& data);
--- /dev/null
+++ b/src/transport/gateway/forward_outcome.cc
@@ -0,0 +1,218 @@
+/** @file forward_outcome.cc What comes back from an attempt, and what follows.
+ */
+#include "transport/gateway/forward.h"
+#include "transport/gateway/gateway.h"
+
+namespace gv {
+namespace {
+
+constexpr unsigned kSuccess = 200;
+constexpr unsigned kRedirect = 300;
+constexpr unsigned kServerError = 500;
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kUnavailable = 503;
+/** Bytes of an unstreamed answer that count as progress; fewer may come from a
+ * target that hangs but still sends single bytes. */
+constexpr size_t kProgressBytes = 256;
+
+}  // namespace
+
+void Forward::OnUnparsed(size_t bytes) {
+  if (attempt_) {
+    attempt_->unparsed_bytes_ = bytes;
+    NoteMemory();
+  }
+}
+
+void Forward::OnHead(unsigned status, const HttpFields& fields) {
+  if (ended_ || !attempt_) {
+    return;
+  }
+  attempt_->status_ = status;
+  attempt_->fields_ = fields;
+  attempt_->facts_ = gateway_.Codec().read_answer_(status, fields);
+  attempt_->last_progress_ = gateway_.Now();
+  gateway_.OnAnswerFacts(attempt_->target_, attempt_->facts_);
+  if (IsAnswerToThisRequest()) {
+    gateway_.OnAnswerLimit(attempt_->target_, attempt_->facts_,
+                           attempt_->sent_at_);
+  }
+  attempt_->is_streamed_ =
+      IsSignedAnswer() && status >= kSuccess && status < kRedirect &&
+      route_.kind_ == RouteKind::kStream && attempt_->facts_.is_event_stream_;
+}
+
+bool Forward::IsAnswerToThisRequest() const {
+  // On a reused connection the answer may be a late second answer to an earlier
+  // request, so it must name the request that it belongs to.
+  const std::string& attempt = attempt_->facts_.attempt_;
+  const bool may_be_unnamed = !attempt_->connection_->IsReused();
+  return attempt == facts_.attempt_ || (attempt.empty() && may_be_unnamed);
+}
+
+bool Forward::IsSignedAnswer() const {
+  const AnswerFacts& facts = attempt_->facts_;
+  return facts.has_signature_ && !facts.is_encoded_ && IsAnswerToThisRequest();
+}
+
+void Forward::OnBody(const std::string& data) {
+  if (ended_ || !attempt_) {
+    return;
+  }
+  if (!attempt_->is_streamed_) {
+    OnWholeBody(data);
+    return;
+  }
+  NoteMemory();
+  const uint64_t before = events_.Progress();
+  PassEvents(data);
+  if (ended_ || !attempt_) {
+    return;
+  }
+  if (events_.Progress() != before) {
+    attempt_->last_progress_ = gateway_.Now();
+  } else if (events_.PartialEventBytes() > gateway_.MaxEventBytes()) {
+    AbandonAttempt("event-too-long");
+  }
+}
+
+void Forward::OnWholeBody(const std::string& data) {
+  attempt_->body_ += data;
+  if (attempt_->body_.size() > gateway_.MaxAnswerBytes()) {
+    AbandonAttempt("answer-too-long");
+    return;
+  }
+  NoteMemory();
+  attempt_->bytes_since_progress_ += data.size();
+  if (attempt_->bytes_since_progress_ >= kProgressBytes) {
+    attempt_->bytes_since_progress_ = 0;
+    attempt_->last_progress_ = gateway_.Now();
+  }
+}
+
+void Forward::OnExchangeEnd(ExchangeEnd end) {
+  if (ended_ || !attempt_) {
+    return;
+  }
+  gateway_.Ledger().End(*work_id_);
+  work_id_.reset();
+  if (end == ExchangeEnd::kNotConnected) {
+    --reached_;
+    --may_have_run_;
+    OnAttemptFailed(AttemptEnd{RunState::kNotRun, false},
+                    HealthOutcome::kUnreachable, "not-connected");
+    return;
+  }
+  if (end != ExchangeEnd::kComplete) {
+    ReportIfUnanswered();
+    const bool reused = attempt_->connection_->IsReused();
+    OnAttemptFailed(AttemptEnd{RunState::kMayHaveRun, false},
+                    reused ? HealthOutcome::kFull : HealthOutcome::kUnreachable,
+                    end == ExchangeEnd::kClosed ? "closed" : "broken");
+    return;
+  }
+  OnExchangeComplete();
+}
+
+void Forward::OnExchangeComplete() {
+  const AnswerFacts& facts = attempt_->facts_;
+  const unsigned status = attempt_->status_;
+  if (!IsAnswerToThisRequest() || (status < kRedirect && !IsSignedAnswer())) {
+    attempt_->connection_->Cancel();
+    OnAttemptFailed(AttemptEnd{RunState::kMayHaveRun, false},
+                    HealthOutcome::kError, "not-its-answer");
+    return;
+  }
+  gateway_.Pool().Release(gateway_.Now(), attempt_->connection_,
+                          facts.keep_alive_);
+  if (facts.not_run_) {
+    --may_have_run_;
+    OnAttemptFailed(AttemptEnd{RunState::kNotRun, false}, HealthOutcome::kFull,
+                    "refused-" + std::to_string(status));
+    return;
+  }
+  if (!attempt_->is_streamed_ && facts.has_signature_) {
+    gateway_.OnAnswerBegun(service_.name_, parts_);
+  }
+  if (answer_begun_ && !attempt_->is_streamed_) {
+    // The caller has a part of the stream already, so this answer cannot be
+    // passed on.
+    OnAttemptFailed(AttemptEnd{RunState::kRan, false},
+                    status >= kServerError ? HealthOutcome::kError
+                                           : HealthOutcome::kUnknown,
+                    "status-" + std::to_string(status));
+    return;
+  }
+  if (status >= kServerError) {
+    OnAttemptFailed(AttemptEnd{RunState::kRan, facts.has_signature_},
+                    HealthOutcome::kError, "status-" + std::to_string(status));
+    return;
+  }
+  if (attempt_->is_streamed_ && !IsStreamComplete()) {
+    ReportIfUnanswered();
+    OnAttemptFailed(AttemptEnd{RunState::kMayHaveRun, false},
+                    HealthOutcome::kError, "incomplete-stream");
+    return;
+  }
+  gateway_.OnOutcome(attempt_->target_, HealthOutcome::kGood);
+  last_outcome_ = HealthOutcome::kGood;
+  FinishAnswer();
+}
+
+AttemptHistory Forward::History() const {
+  AttemptHistory history;
+  history.kind_ = route_.kind_;
+  history.resumable_ = route_.resumable_;
+  history.max_targets_ = route_.max_targets_;
+  history.sent_ = sent_;
+  history.may_have_run_ = may_have_run_;
+  history.answer_begun_ = answer_begun_;
+  history.has_failure_answer_ = target_failure_.has_value();
+  history.time_left_ = answer_deadline_ - gateway_.Now();
+  return history;
+}
+
+void Forward::OnAttemptFailed(const AttemptEnd& end, HealthOutcome health,
+                              const std::string& reason) {
+  gateway_.OnOutcome(attempt_->target_, health);
+  last_outcome_ = health;
+  tried_.push_back(attempt_->target_);
+  if (end.has_answer_) {
+    target_failure_ = TakeWholeAnswer();
+  }
+  RetryOrFinish(end, reason);
+}
+
+void Forward::AbandonAttempt(const std::string& reason, HealthOutcome health) {
+  gateway_.Ledger().End(*work_id_);
+  work_id_.reset();
+  attempt_->connection_->Cancel();
+  OnAttemptFailed(AttemptEnd{RunState::kMayHaveRun, false}, health, reason);
+}
+
+std::optional<Duration> Forward::RoomIn(const std::string& reason) const {
+  if (reason == kTargetLimit) {
+    return limit_wait_;
+  }
+  return reason == kNoTarget
+             ? gateway_.GetPlacer().UntilUsable(gateway_.Now(), ToPlace())
+             : std::nullopt;
+}
+
+void Forward::FinishWithoutRetry(const AttemptEnd& end,
+                                 const std::string& reason) {
+  switch (DecideFinalStep(History(), end)) {
+    case FinalStep::kForwardAnswer:
+      PassTargetFailure();
+      return;
+    case FinalStep::kRefuse:
+      Refuse(kUnavailable, reason, ReturnTime(RoomIn(reason), TimeLeft()));
+      return;
+    case FinalStep::kFail:
+    case FinalStep::kTruncateAnswer:
+      FailWith(kBadGateway, reason);
+      return;
+  }
+}
+
+}  // namespace gv
