--- a/src/state/event_type.h
+++ b/src/state/event_type.h
@@ -67,6 +67,7 @@
   kForwardAbandoned = 617,
   kForwardHeld = 618,
   kForwardNotRetried = 619,
+  kForwardAttemptEnded = 641,
   kRetryGranted = 626,
   kRetryRefused = 627,
   kEngineCrashed = 628,
--- a/src/state/table/events.h
+++ b/src/state/table/events.h
@@ -19,7 +19,7 @@
   std::string_view meaning_;  ///< For people.
 };
 
-inline constexpr std::array<EventRow, 77> kEvents{{
+inline constexpr std::array<EventRow, 78> kEvents{{
     {EventId::kProcessStarted, "process-started", EventLevel::kInfo,
      "A process started with its roles."},
     {EventId::kProcessStopping, "process-stopping", EventLevel::kInfo,
@@ -133,6 +133,10 @@
      "The leader permits a gateway one retry from the slack of the budget."},
     {EventId::kRetryRefused, "retry-refused", EventLevel::kInfo,
      "The leader does not permit a gateway a retry."},
+    {EventId::kForwardAttemptEnded, "forward-attempt-ended", EventLevel::kDebug,
+     "An attempt brought no answer that is passed on; with what its end says "
+     "of "
+     "the run."},
     {EventId::kForwardResumed, "forward-resumed", EventLevel::kInfo,
      "A broken stream goes on at another target."},
     {EventId::kForwardFinished, "forward-finished", EventLevel::kDebug,
--- a/src/transport/gateway/forward.cc
+++ b/src/transport/gateway/forward.cc
@@ -242,18 +242,17 @@
   Log(EventId::kForwardRefused,
       "status=" + std::to_string(status) + " reason=" + reason +
           " retry_ms=" + std::to_string(retry_after.Ms()) +
-          " config=" + std::to_string(config_version_) +
+          " config=" + std::to_string(config_version_) + RunDetail() +
           " waited_ms=" + std::to_string((gateway_.Now() - arrived_).Ms()));
   gateway_.Count(route_.kind_, "refused");
+  gateway_.CountRefusal(route_.kind_, sent_ > 0);
   End();
   caller_->Reply(answer, gateway_.IsStopping());
 }
 
 void Forward::FailWith(unsigned status, const std::string& reason) {
   Log(EventId::kForwardFailed,
-      "status=" + std::to_string(status) + " reason=" + reason +
-          " sent=" + std::to_string(sent_) +
-          " may_have_run=" + std::to_string(may_have_run_) +
+      "status=" + std::to_string(status) + " reason=" + reason + RunDetail() +
           " waited_ms=" + std::to_string((gateway_.Now() - arrived_).Ms()));
   gateway_.Count(route_.kind_, "failed");
   const bool begun = answer_begun_;
@@ -366,6 +365,12 @@
   CheckProgress(now);
 }
 
+std::string Forward::RunDetail() const {
+  return " sent=" + std::to_string(sent_) +
+         " reached=" + std::to_string(reached_) +
+         " may_have_run=" + std::to_string(may_have_run_);
+}
+
 void Forward::Log(EventId id, const std::string& detail) const {
   Event event;
   event.id_ = id;
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -120,6 +120,8 @@
   void FailWith(unsigned status, const std::string& reason);
   void End();
   void Log(EventId id, const std::string& detail) const;
+  /** @return What the attempts so far say of the run, for log lines. */
+  std::string RunDetail() const;
   Duration TimeLeft() const;
   bool IsPrompt() const;
   /** @return Time that the request takes without any waiting, as far as is
@@ -146,6 +148,8 @@
   bool IsAnswerToThisRequest() const;
   void OnExchangeEnd(ExchangeEnd end);
   void OnExchangeComplete();
+  /** @param end What came back, for people. */
+  void LogAttemptEnd(const std::string& end, RunState run) const;
   void OnAttemptFailed(const AttemptEnd& end, HealthOutcome health,
                        const std::string& reason);
   void AbandonAttempt(const std::string& reason,
--- a/src/transport/gateway/forward_answer.cc
+++ b/src/transport/gateway/forward_answer.cc
@@ -124,7 +124,7 @@
     gateway_.TimesOf(service_.name_).Add(gateway_.Now() - attempt_->sent_at_);
   }
   Log(EventId::kForwardFinished,
-      "status=" + std::to_string(answer.status_) +
+      "status=" + std::to_string(answer.status_) + RunDetail() +
           " total_ms=" + std::to_string((gateway_.Now() - arrived_).Ms()));
   gateway_.ObserveFirstEvent(route_.kind_, gateway_.Now() - arrived_);
   gateway_.Count(route_.kind_, "finished");
--- a/src/transport/gateway/forward_outcome.cc
+++ b/src/transport/gateway/forward_outcome.cc
@@ -1,5 +1,6 @@
 /** @file forward_outcome.cc What comes back from an attempt, and what follows.
  */
+#include "state/table/verdict_names.h"
 #include "transport/gateway/forward.h"
 #include "transport/gateway/gateway.h"
 
@@ -97,6 +98,7 @@
   gateway_.Ledger().End(*work_id_);
   work_id_.reset();
   if (end == ExchangeEnd::kNotConnected) {
+    LogAttemptEnd("not-connected", RunState::kNotRun);
     --reached_;
     --may_have_run_;
     OnAttemptFailed(AttemptEnd{RunState::kNotRun, false},
@@ -104,11 +106,14 @@
     return;
   }
   if (end != ExchangeEnd::kComplete) {
+    const char* const reason =
+        end == ExchangeEnd::kClosed ? "closed" : "broken";
+    LogAttemptEnd(reason, RunState::kMayHaveRun);
     ReportIfUnanswered();
     const bool reused = attempt_->connection_->IsReused();
     OnAttemptFailed(AttemptEnd{RunState::kMayHaveRun, false},
                     reused ? HealthOutcome::kFull : HealthOutcome::kUnreachable,
-                    end == ExchangeEnd::kClosed ? "closed" : "broken");
+                    reason);
     return;
   }
   OnExchangeComplete();
@@ -118,6 +123,7 @@
   const AnswerFacts& facts = attempt_->facts_;
   const unsigned status = attempt_->status_;
   if (!IsAnswerToThisRequest() || (status < kRedirect && !IsSignedAnswer())) {
+    LogAttemptEnd("not-its-answer", RunState::kMayHaveRun);
     attempt_->connection_->Cancel();
     OnAttemptFailed(AttemptEnd{RunState::kMayHaveRun, false},
                     HealthOutcome::kError, "not-its-answer");
@@ -126,6 +132,7 @@
   gateway_.Pool().Release(gateway_.Now(), attempt_->connection_,
                           facts.keep_alive_);
   if (facts.not_run_) {
+    LogAttemptEnd("refused", RunState::kNotRun);
     --may_have_run_;
     OnAttemptFailed(AttemptEnd{RunState::kNotRun, false}, HealthOutcome::kFull,
                     "refused-" + std::to_string(status));
@@ -137,6 +144,7 @@
   if (answer_begun_ && !attempt_->is_streamed_) {
     // The caller has a part of the stream already, so this answer cannot be
     // passed on.
+    LogAttemptEnd("late-failure", RunState::kRan);
     OnAttemptFailed(AttemptEnd{RunState::kRan, false},
                     status >= kServerError ? HealthOutcome::kError
                                            : HealthOutcome::kUnknown,
@@ -144,11 +152,13 @@
     return;
   }
   if (status >= kServerError) {
+    LogAttemptEnd("failure", RunState::kRan);
     OnAttemptFailed(AttemptEnd{RunState::kRan, facts.has_signature_},
                     HealthOutcome::kError, "status-" + std::to_string(status));
     return;
   }
   if (attempt_->is_streamed_ && !IsStreamComplete()) {
+    LogAttemptEnd("incomplete-stream", RunState::kMayHaveRun);
     ReportIfUnanswered();
     OnAttemptFailed(AttemptEnd{RunState::kMayHaveRun, false},
                     HealthOutcome::kError, "incomplete-stream");
@@ -159,6 +169,23 @@
   FinishAnswer();
 }
 
+void Forward::LogAttemptEnd(const std::string& end, RunState run) const {
+  const AnswerFacts& facts = attempt_->facts_;
+  const char* const answers = facts.attempt_ == facts_.attempt_ ? "own"
+                              : facts.attempt_.empty()          ? "unnamed"
+                                                                : "other";
+  const TargetConnection& connection = *attempt_->connection_;
+  Log(EventId::kForwardAttemptEnded,
+      "end=" + end + " run=" + std::string(NameOf(kRunStateNames, run)) +
+          " status=" + std::to_string(attempt_->status_) +
+          " not_executed=" + (facts.not_run_ ? "1" : "0") +
+          " signed=" + (facts.has_signature_ ? "1" : "0") +
+          " answers=" + (attempt_->status_ == 0 ? "nothing" : answers) +
+          " address=" + connection.Address() + " reused=" +
+          (connection.IsReused() ? "1" : "0") + RunDetail() + " took_ms=" +
+          std::to_string((gateway_.Now() - attempt_->sent_at_).Ms()));
+}
+
 AttemptHistory Forward::History() const {
   AttemptHistory history;
   history.kind_ = route_.kind_;
@@ -184,6 +211,7 @@
 }
 
 void Forward::AbandonAttempt(const std::string& reason, HealthOutcome health) {
+  LogAttemptEnd("abandoned", RunState::kMayHaveRun);
   gateway_.Ledger().End(*work_id_);
   work_id_.reset();
   attempt_->connection_->Cancel();
--- a/src/transport/gateway/gateway.cc
+++ b/src/transport/gateway/gateway.cc
@@ -134,6 +134,10 @@
                     .Name("gooseberryvale_requests_total")
                     .Help("Ended requests by kind and outcome")
                     .Register(metrics_registry_)),
+      refusals_(prometheus::BuildCounter()
+                    .Name("gooseberryvale_refusals_total")
+                    .Help("Requests refused as not run")
+                    .Register(metrics_registry_)),
       first_events_(prometheus::BuildHistogram()
                         .Name("gooseberryvale_first_event_ms")
                         .Help("Time to the first event or the answer")
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -126,6 +126,8 @@
   void Record(EventId id, std::string detail);
   /** Counts an ended request. */
   void Count(RouteKind kind, const char* outcome);
+  /** Counts a refusal as not run. @param was_sent An attempt preceded it. */
+  void CountRefusal(RouteKind kind, bool was_sent);
   /** Adds to the histogram of times to the first event. */
   void ObserveFirstEvent(RouteKind kind, Duration time);
   /** @return True if the leader answers, as far as is known. */
@@ -357,6 +359,8 @@
   prometheus::Registry metrics_registry_;              ///< All metrics.
   prometheus::Family<prometheus::Counter>& events_;    ///< By event.
   prometheus::Family<prometheus::Counter>& requests_;  ///< By kind, outcome.
+  /** By kind, and whether an attempt preceded the refusal. */
+  prometheus::Family<prometheus::Counter>& refusals_;
   prometheus::Family<prometheus::Histogram>& first_events_;  ///< By kind.
 };
 
--- a/src/transport/gateway/gateway_calls.cc
+++ b/src/transport/gateway/gateway_calls.cc
@@ -199,6 +199,13 @@
       .Increment();
 }
 
+void Gateway::CountRefusal(RouteKind kind, bool was_sent) {
+  refusals_
+      .Add({{"kind", std::string(NameOf(kRouteKindNames, kind))},
+            {"after", was_sent ? "attempt" : "nothing-sent"}})
+      .Increment();
+}
+
 void Gateway::ObserveFirstEvent(RouteKind kind, Duration time) {
   first_events_
       .Add({{"kind", std::string(NameOf(kRouteKindNames, kind))}},
