Pass on no status of a target that denies the run without its statement

Callers saw: a request that may run only once was answered 503, 429 or 408, which promise that it has not run, and a target had run it. Cause: OnExchangeComplete passed any status on. Class of fault: a promise to the caller without evidence from the one who could break it. Ruled out as the cause of these cases: the count of attempts that may have run (502 in each case where the gateway itself ended the request). Change: attempt_policy judges whole answers (JudgeAnswer), the same on each kind of route; such a status is a failure that is never forwarded. What may run twice is tried elsewhere, the rest gets 502 without the signature, which would demand the target's status. Targets' own 5xx of other kinds, 4xx of other kinds and all refusals are treated as before.

--- a/src/coordination/gateway/attempt_policy.cc
+++ b/src/coordination/gateway/attempt_policy.cc
@@ -1,6 +1,8 @@
 /** @file attempt_policy.cc Retry policy for failed attempts. */
 #include "coordination/gateway/attempt_policy.h"
 
+#include "state/run_promise.h"
+
 namespace gv {
 namespace {
 
@@ -11,8 +13,26 @@
  * run.
  */
 constexpr int64_t kExtraAttemptsAfterNotRun = 1;
+constexpr unsigned kRedirect = 300;
+constexpr unsigned kServerError = 500;
+
 }  // namespace
 
+AnswerUse JudgeAnswer(const TargetAnswer& answer) {
+  const bool is_success = answer.status_ < kRedirect;
+  if (!answer.is_own_ || (is_success && !answer.has_signature_)) {
+    return AnswerUse::kIgnore;
+  }
+  if (answer.not_run_) {
+    return AnswerUse::kRefusal;
+  }
+  if (PromisesNotRun(answer.status_)) {
+    return AnswerUse::kUnproven;
+  }
+  return answer.status_ >= kServerError ? AnswerUse::kFailure
+                                        : AnswerUse::kForward;
+}
+
 bool IsRepeatable(RouteKind kind, bool resumable) {
   return kind == RouteKind::kSafe || (kind == RouteKind::kStream && resumable);
 }
--- a/src/coordination/gateway/attempt_policy.h
+++ b/src/coordination/gateway/attempt_policy.h
@@ -38,6 +38,28 @@
   kTruncateAnswer,  ///< The partly delivered answer stays incomplete.
 };
 
+/** A whole answer of a target, as far as it decides what becomes of it. */
+struct TargetAnswer {
+  unsigned status_ = 0;         ///< HTTP status.
+  bool is_own_ = false;         ///< It answers this attempt.
+  bool has_signature_ = false;  ///< Its body is the target's own.
+  bool not_run_ = false;        ///< States that the target did not run it.
+};
+
+/** What becomes of a target's answer. */
+enum class AnswerUse : uint8_t {
+  kForward,   ///< The caller gets it.
+  kIgnore,    ///< It says nothing of this attempt, which may have run.
+  kRefusal,   ///< The attempt did not run.
+  kFailure,   ///< Forwarded if no other attempt succeeds.
+  kUnproven,  ///< Its status would deny the run, which the target does not
+              ///< state. A failure that is never forwarded.
+};
+
+/** @return What becomes of an answer on a route of any kind; a status is no
+ * statement of the target that the request did not run. Thread safety: pure. */
+AnswerUse JudgeAnswer(const TargetAnswer& answer);
+
 /** @return True if requests of this kind may run more than once: safe ones and
  * resumable streams. Thread safety: pure. */
 bool IsRepeatable(RouteKind kind, bool resumable);
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -147,7 +147,10 @@
   void OnWholeBody(const std::string& data);
   bool IsAnswerToThisRequest() const;
   void OnExchangeEnd(ExchangeEnd end);
+  AnswerUse UseOfAnswer() const;
   void OnExchangeComplete();
+  void OnFailureAnswer(AnswerUse use);
+  void OnAnswerToForward();
   /** @param end What came back, for people. */
   void LogAttemptEnd(const std::string& end, RunState run) const;
   void OnAttemptFailed(const AttemptEnd& end, HealthOutcome health,
--- a/src/transport/gateway/forward_outcome.cc
+++ b/src/transport/gateway/forward_outcome.cc
@@ -9,7 +9,6 @@
 
 constexpr unsigned kSuccess = 200;
 constexpr unsigned kRedirect = 300;
-constexpr unsigned kServerError = 500;
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
 /** Bytes of an unstreamed answer that count as progress; fewer may come from a
@@ -119,42 +118,61 @@
   OnExchangeComplete();
 }
 
+AnswerUse Forward::UseOfAnswer() const {
+  TargetAnswer answer;
+  answer.status_ = attempt_->status_;
+  answer.is_own_ = IsAnswerToThisRequest();
+  answer.has_signature_ = IsSignedAnswer();
+  answer.not_run_ = attempt_->facts_.not_run_;
+  return JudgeAnswer(answer);
+}
+
 void Forward::OnExchangeComplete() {
-  const AnswerFacts& facts = attempt_->facts_;
-  const unsigned status = attempt_->status_;
-  if (!IsAnswerToThisRequest() || (status < kRedirect && !IsSignedAnswer())) {
+  const AnswerUse use = UseOfAnswer();
+  if (use == AnswerUse::kIgnore) {
     LogAttemptEnd("not-its-answer", RunState::kMayHaveRun);
     attempt_->connection_->Cancel();
     OnAttemptFailed(AttemptEnd{RunState::kMayHaveRun, false},
                     HealthOutcome::kError, "not-its-answer");
     return;
   }
+  const AnswerFacts& facts = attempt_->facts_;
   gateway_.Pool().Release(gateway_.Now(), attempt_->connection_,
                           facts.keep_alive_);
-  if (facts.not_run_) {
+  if (use == AnswerUse::kRefusal) {
     LogAttemptEnd("refused", RunState::kNotRun);
     --may_have_run_;
     OnAttemptFailed(AttemptEnd{RunState::kNotRun, false}, HealthOutcome::kFull,
-                    "refused-" + std::to_string(status));
+                    "refused-" + std::to_string(attempt_->status_));
     return;
   }
   if (!attempt_->is_streamed_ && facts.has_signature_) {
     gateway_.OnAnswerBegun(service_.name_, parts_);
   }
+  if (use == AnswerUse::kForward) {
+    OnAnswerToForward();
+  } else {
+    OnFailureAnswer(use);
+  }
+}
+
+void Forward::OnFailureAnswer(AnswerUse use) {
+  const bool may_forward = use == AnswerUse::kFailure && !answer_begun_ &&
+                           attempt_->facts_.has_signature_;
+  const RunState run =
+      use == AnswerUse::kFailure ? RunState::kRan : RunState::kMayHaveRun;
+  LogAttemptEnd("failure", run);
+  OnAttemptFailed(AttemptEnd{run, may_forward}, HealthOutcome::kError,
+                  "status-" + std::to_string(attempt_->status_));
+}
+
+void Forward::OnAnswerToForward() {
   if (answer_begun_ && !attempt_->is_streamed_) {
     // The caller has a part of the stream already, so this answer cannot be
     // passed on.
-    LogAttemptEnd("late-failure", RunState::kRan);
-    OnAttemptFailed(AttemptEnd{RunState::kRan, false},
-                    status >= kServerError ? HealthOutcome::kError
-                                           : HealthOutcome::kUnknown,
-                    "status-" + std::to_string(status));
-    return;
-  }
-  if (status >= kServerError) {
-    LogAttemptEnd("failure", RunState::kRan);
-    OnAttemptFailed(AttemptEnd{RunState::kRan, facts.has_signature_},
-                    HealthOutcome::kError, "status-" + std::to_string(status));
+    LogAttemptEnd("late-answer", RunState::kRan);
+    OnAttemptFailed(AttemptEnd{RunState::kRan, false}, HealthOutcome::kUnknown,
+                    "status-" + std::to_string(attempt_->status_));
     return;
   }
   if (attempt_->is_streamed_ && !IsStreamComplete()) {
--- a/tests/gateway_attempt_test.cc
+++ b/tests/gateway_attempt_test.cc
@@ -74,6 +74,26 @@
   CHECK_FALSE(MayRetry(stream, kUnknown));
 }
 
+TEST_CASE("attempt policy: a status alone does not say that nothing ran") {
+  for (unsigned status = 200; status < 600; ++status) {
+    CAPTURE(status);
+    const bool denies_run =
+        status == 408 || status == 421 || status == 429 || status == 503;
+    const TargetAnswer own{status, true, true, false};
+    const AnswerUse use = JudgeAnswer(own);
+    CHECK((use == AnswerUse::kUnproven) == denies_run);
+    CHECK(use != AnswerUse::kRefusal);
+    TargetAnswer refusal = own;
+    refusal.not_run_ = true;
+    CHECK(JudgeAnswer(refusal) == AnswerUse::kRefusal);
+    refusal.is_own_ = false;
+    CHECK(JudgeAnswer(refusal) == AnswerUse::kIgnore);
+  }
+  CHECK(JudgeAnswer({200, true, false, false}) == AnswerUse::kIgnore);
+  CHECK(JudgeAnswer({404, true, false, false}) == AnswerUse::kForward);
+  CHECK(JudgeAnswer({500, true, true, false}) == AnswerUse::kFailure);
+}
+
 TEST_CASE("event splitter: complete events pass once each and in order") {
   EventSplitter events(std::nullopt);
   CHECK(events.Add("id: 1\ndata: a\n").empty());
