Answer no verdict but not-run with a status that denies the run

Callers saw 503 with "X-Gooseberryvale-Verdict: may-have-run" or "ran", for instance for reason fenced after a call was sent, or overloaded after the first tokens; a caller that reads the status is told that the request has not run and never will. Cause: the status followed from the reason alone. Ruled out: 504 for a deadline promises nothing and stays; streams that have begun have no status left; 404, 409 and 502 promise nothing. Change: state/run_promise.h lists the statuses that promise that a request did not run (408, 421, 429, 503).

--- a/src/transport/http_reply.cc
+++ b/src/transport/http_reply.cc
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "state/run_promise.h"
 #include "state/table/verdict_names.h"
 #include "transport/table/http_status.h"
 
@@ -13,9 +14,19 @@
 using nlohmann::json;
 
 constexpr unsigned kInternalError = 500;
+constexpr unsigned kBadGateway = 502;
 constexpr unsigned kHttp11 = 11;
 constexpr int64_t kMsPerSecond = 1000;
 
+unsigned StatusOfReason(Reason reason) {
+  for (const ReasonStatus& row : kReasonStatuses) {
+    if (row.reason_ == reason) {
+      return row.status_;
+    }
+  }
+  return kInternalError;
+}
+
 std::string Dump(const json& value) {
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -56,13 +67,10 @@
 
 }  // namespace
 
-unsigned StatusOf(Reason reason) {
-  for (const ReasonStatus& row : kReasonStatuses) {
-    if (row.reason_ == reason) {
-      return row.status_;
-    }
-  }
-  return kInternalError;
+unsigned StatusOf(const Verdict& verdict) {
+  const unsigned status = StatusOfReason(verdict.reason_);
+  const bool is_sure = verdict.run_state_ == RunState::kNotRun;
+  return PromisesNotRun(status) && !is_sure ? kBadGateway : status;
 }
 
 std::string VerdictBody(const Verdict& verdict) {
@@ -81,8 +89,8 @@
 }
 
 HttpReply MakeVerdictReply(const Verdict& verdict, RequestId request) {
-  HttpReply reply = MakeReply(StatusOf(verdict.reason_), "application/json",
-                              VerdictBody(verdict));
+  HttpReply reply =
+      MakeReply(StatusOf(verdict), "application/json", VerdictBody(verdict));
   reply.set("X-Gooseberryvale-Verdict",
             NameOf(kRunStateNames, verdict.run_state_));
   reply.set("X-Gooseberryvale-Reason", NameOf(kReasonNames, verdict.reason_));
--- a/src/transport/http_reply.h
+++ b/src/transport/http_reply.h
@@ -16,8 +16,9 @@
     boost::beast::http::request<boost::beast::http::string_body>;
 using HttpReply = boost::beast::http::response<boost::beast::http::string_body>;
 
-/** @return The HTTP status for a reason. Thread safety: pure. */
-unsigned StatusOf(Reason reason);
+/** @return The HTTP status for a verdict: that of its reason, but none that
+ * promises that the request did not run if it may have. Thread safety: pure. */
+unsigned StatusOf(const Verdict& verdict);
 
 /** @return The JSON object that describes a failure to a caller. Thread safety:
  * pure. */
--- a/tests/caller_listener_test.cc
+++ b/tests/caller_listener_test.cc
@@ -4,12 +4,17 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <array>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <condition_variable>
 #include <thread>
 
+#include "state/table/verdict_names.h"
+#include "transport/http_reply.h"
+
 namespace gv {
 namespace {
 
@@ -163,6 +168,28 @@
   CHECK(Has(refusal, "Retry-After: 2"));
 }
 
+TEST_CASE("caller: a call that may have run got a status that denies it") {
+  constexpr std::array<unsigned, 4> kDenials{408, 421, 429, 503};
+  for (const auto& reason : kReasonNames) {
+    const unsigned refused =
+        MakeVerdictReply(NotRun(reason.value_, ""), RequestId()).result_int();
+    const bool denies = std::ranges::find(kDenials, refused) != kDenials.end();
+    for (const RunState state : {RunState::kRan, RunState::kMayHaveRun}) {
+      CAPTURE(reason.name_);
+      const Verdict verdict{state, reason.value_, "", Duration()};
+      const HttpReply reply = MakeVerdictReply(verdict, RequestId());
+      CHECK(reply.result_int() == (denies ? 502 : refused));
+      CHECK(reply["X-Gooseberryvale-Reason"] == reason.name_);
+      CHECK(reply["X-Gooseberryvale-Verdict"] != "not-run");
+    }
+  }
+  CHECK(
+      MakeVerdictReply(NotRun(Reason::kFenced, ""), RequestId()).result_int() ==
+      503);
+  CHECK(MakeVerdictReply(MayHaveRun(Reason::kDeadline, ""), RequestId())
+            .result_int() == 504);
+}
+
 TEST_CASE("caller: only a whole stream ends with its end mark") {
   Rig rig;
   for (const bool ok : {true, false}) {
