Answer 502 where a service's own status would deny that it ran

Callers saw a plain service's own 408, 421, 429 or 503 with verdict ran, fresh or as a recorded answer, though the service had answered without "X-Gooseberryvale-Verdict: not-run" and so had taken the call. Cause: WholeReply passed on any status of the service. Ruled out: answers with not-run never get there, they end the attempt with a verdict; other statuses (201, 409, 500 in the test) promise nothing and pass unchanged; engines' statuses do not reach the caller. Change: such an answer is 502 with the service's body, verdict ran, and the service's status in X-Gooseberryvale-Target-Status. Test: "caller: a service's own 503 denied that the service ran the call" failed before for each of the four statuses, fresh and replayed, and passes after. Conclusion: a service that refuses must say not-run; a bare 503 is no evidence.

--- a/src/transport/caller_session.cc
+++ b/src/transport/caller_session.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
+#include "state/run_promise.h"
 #include "transport/caller_listener.h"
 #include "transport/http_chunk.h"
 
@@ -22,6 +23,7 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kNotReady = 503;
 constexpr unsigned kNotFound = 404;
+constexpr unsigned kBadGateway = 502;
 
 /** @return The answer to a request that could not even be read. */
 HttpReply BadRequestReply(const boost::system::error_code& error) {
@@ -53,13 +55,18 @@
   if (!end.ok_) {
     return MakeVerdictReply(end.verdict_, spec.request_);
   }
-  const unsigned status = end.http_status_ == 0 ? kOk : end.http_status_;
+  const unsigned own = end.http_status_ == 0 ? kOk : end.http_status_;
+  const bool denies = PromisesNotRun(own);
+  const unsigned status = denies ? kBadGateway : own;
   const bool engine = spec.kind_ == TargetKind::kEngine;
   HttpReply reply =
       engine ? MakeReply(status, "application/json",
                          CompletionBody(spec.request_, spec.model_, text,
                                         spec.prompt_tokens_, tokens))
              : MakeReply(status, "application/octet-stream", text);
+  if (denies) {
+    reply.set("X-Gooseberryvale-Target-Status", std::to_string(own));
+  }
   reply.set("X-Gooseberryvale-Verdict", "ran");
   reply.set("X-Gooseberryvale-Request", std::to_string(spec.request_.Value()));
   if (end.replayed_) {
--- a/tests/caller_listener_test.cc
+++ b/tests/caller_listener_test.cc
@@ -64,6 +64,15 @@
     end.verdict_ = std::move(verdict);
     listener_.Deliver(end);
   }
+  /** Ends a call of a service with its own status. */
+  void EndService(RequestId request, uint32_t status, bool replayed) {
+    CallerEnd end;
+    end.request_ = request;
+    end.ok_ = true;
+    end.http_status_ = status;
+    end.replayed_ = replayed;
+    listener_.Deliver(end);
+  }
 
  private:
   static CallerListenerSettings MakeSettings() {
@@ -190,6 +199,31 @@
             .result_int() == 504);
 }
 
+TEST_CASE("caller: a service's own 503 denied that the service ran the call") {
+  Rig rig;
+  for (const unsigned status : {408U, 421U, 429U, 503U, 500U, 409U, 201U}) {
+    for (const bool replayed : {false, true}) {
+      CAPTURE(status);
+      CAPTURE(replayed);
+      Caller caller;
+      caller.Send(Post("/services/shop/deposit", "{}",
+                       "Idempotency-Key: deposit-1\r\n"));
+      const RequestId id = rig.Next<CallerRequest>().spec_.request_;
+      rig.Answer(id, "the till is jammed");
+      rig.EndService(id, status, replayed);
+      const std::string answer = caller.ReadAll();
+      const bool denies =
+          status == 408 || status == 421 || status == 429 || status == 503;
+      const std::string own = std::to_string(status);
+      CHECK(Has(answer, "HTTP/1.1 " + (denies ? "502" : own) + " "));
+      CHECK(Has(answer, "X-Gooseberryvale-Target-Status: " + own) == denies);
+      CHECK(Has(answer, "X-Gooseberryvale-Verdict: ran"));
+      CHECK(Has(answer, "X-Gooseberryvale-Replayed: true") == replayed);
+      CHECK(Has(answer, "the till is jammed"));
+    }
+  }
+}
+
 TEST_CASE("caller: only a whole stream ends with its end mark") {
   Rig rig;
   for (const bool ok : {true, false}) {
