Refuse another body under a used key instead of answering as if it ran

Callers that sent another body under a key whose first call had finished saw 200 with an empty body and verdict ran; while the first call was in progress, 409 with may-have-run. docs/INTERFACES.md promises 409, and the call had not run. Cause: control's refusal bears the state of the other call but not its answer. The entry looked at the state first, so it replayed an empty answer, or took the missing target for one that is gone. Ruled out: the claim table itself; its refusal is not-run with reason conflict, and a test holds that. The entry's test made the refusal by hand without a state, so it could not see this. Change: the entry looks at the verdict of a claim's refusal before its state. Test: "claims: another body under a used key was answered as if it ran", with the real table, failed before (finished: an answer in place of a refusal; in progress: may-have-run) and passes after. Conclusion: the only two refusals of the table, conflict and overloaded, reach the caller as they are.

--- a/src/coordination/entry_claims.cc
+++ b/src/coordination/entry_claims.cc
@@ -84,14 +84,16 @@
 
 void EntryDesk::OnClaimTaken(TimePoint now, RequestRecord& record,
                              const ClaimReply& reply, Outbox& out) {
+  // A refusal tells the state of the other call too, but not its answer.
+  if (reply.verdict_.reason_ != Reason::kNone) {
+    Refuse(record, reply.verdict_, out);
+    return;
+  }
   if (reply.state_ == ClaimState::kFinished) {
     Replay(record, reply.http_status_, reply.body_, out);
     return;
   }
   if (reply.state_ == ClaimState::kFree) {
-    if (reply.verdict_.reason_ != Reason::kNone) {
-      Refuse(record, reply.verdict_, out);
-    }
     return;
   }
   record.claim_owner_ = reply.owner_request_;
--- a/tests/entry_claims_test.cc
+++ b/tests/entry_claims_test.cc
@@ -182,6 +182,37 @@
   CHECK(rig.Sent<Dispatch>().empty());
 }
 
+TEST_CASE("claims: another body under a used key was answered as if it ran") {
+  for (const bool finished : {true, false}) {
+    CAPTURE(finished);
+    EntryRig rig;
+    ClaimControl control;
+    const TargetInfo shop = rig.AddTarget("shop-1", TargetKind::kService);
+    ClaimBegin other;
+    other.request_ = RequestId(9);
+    other.team_ = TeamId("carvers");
+    other.key_ = IdempotencyKey("deposit-9");
+    other.target_ = shop.target_;
+    (void)control.table_.Begin(kClusterMs, other, FencingToken(1));
+    if (finished) {
+      control.table_.Finish(
+          kClusterMs,
+          ClaimFinish{other.request_, other.team_, other.key_, FencingToken(1),
+                      ClaimState::kFinished, 201, "paid"});
+    }
+    rig.AskOnce(RequestId(1), "deposit-9");
+    REQUIRE(rig.Sent<ClaimBegin>().size() == 1);
+    REQUIRE(rig.Sent<ClaimBegin>()[0].team_ == other.team_);
+    control.Serve(rig);
+    REQUIRE(rig.Sent<CallerEnd>().size() == 1);
+    const CallerEnd end = rig.Sent<CallerEnd>()[0];
+    CHECK_FALSE(end.ok_);
+    CHECK(end.verdict_.reason_ == Reason::kConflict);
+    CHECK(end.verdict_.run_state_ == RunState::kNotRun);
+    CHECK(rig.Sent<Dispatch>().empty());
+  }
+}
+
 TEST_CASE(
     "claims: an answer that cannot be recorded in time says that it ran") {
   EntryRig rig;
