Let no agent without a lease deny a call that it never met

A newer owner may have run that call; an entry with an old list of targets that asks the old agent frees the claim, tells not-run, and the call runs again. Cause: dispatches need a lease at the agent, testimony did not. Ruled out: claims that the agent has met are told from its own record and need no lease; after a takeover the new owner denies nothing that is older than its own exclusive token. Change: without a lease the agent has no exclusive token to testify with, so it cannot tell. Control waits kOwnerLease, at least a settings lease, before a newer owner serves, so with a lease nobody else has met the claim, if the target ignores tokens. Beside a target that checks tokens the newer owner does not wait; there the case stays open. Test: "agent: an agent without a lease denied a call that a newer owner may have run" failed before and passes after.

--- a/src/coordination/agent_work.cc
+++ b/src/coordination/agent_work.cc
@@ -201,7 +201,10 @@
 
 void AgentWork::Handle(TimePoint now, const Envelope& in,
                        const TestifyRequest& body, Outbox& out) {
-  out.Send(in.from_, claims_.Testify(now, body, fence_.ExclusiveSince()));
+  // Without a lease a newer owner may serve, and have met the claim.
+  const FencingToken since =
+      view_.has_lease_ ? fence_.ExclusiveSince() : FencingToken();
+  out.Send(in.from_, claims_.Testify(now, body, since));
 }
 
 void AgentWork::Abandon(TimePoint now, AgentStream& stream, Reason reason,
--- a/tests/agent_claims_test.cc
+++ b/tests/agent_claims_test.cc
@@ -158,6 +158,19 @@
   CHECK(rig.Last<TestifyReply>().run_state_ == RunState::kNotRun);
 }
 
+TEST_CASE(
+    "agent: an agent without a lease denied a call that a newer owner may "
+    "have run") {
+  AgentRig rig(TargetKind::kService);
+  rig.Serve(40);
+  rig.view_.has_lease_ = false;
+  rig.FromEntry(Ask(41));
+  CHECK(rig.Last<TestifyReply>().run_state_ == RunState::kMayHaveRun);
+  rig.view_.has_lease_ = true;
+  rig.FromEntry(Ask(41));
+  CHECK(rig.Last<TestifyReply>().run_state_ == RunState::kNotRun);
+}
+
 TEST_CASE(
     "agent: after a takeover only a token from after the wait allows to "
     "testify not run") {
