Do not deny work for another target of the same node

The entry sends a call without a sign of life again, so the first copy may have run there; the entry then freed the claim and told not-run. Cause: only a change of the incarnation was taken for a resend; the name of the target was compared first. Ruled out: a copy at the same process is known by its attempt before this check. Change: work for another target is may-have-run, as work for an earlier incarnation is. Test: "agent: work for the node's earlier target was said not to have run" failed before and passes after. Conclusion: an agent denies only what its own process can know.

--- a/src/coordination/fence_guard.cc
+++ b/src/coordination/fence_guard.cc
@@ -63,12 +63,12 @@
 
 Result<void> FenceGuard::Check(const TargetId& target,
                                Incarnation incarnation) const {
+  // The work may be a resend of what an earlier incarnation began.
   if (target != target_) {
-    return NotRun(Reason::kNoTarget,
-                  "target " + target.Value() + " is not beside this agent");
+    return MayHaveRun(Reason::kNoTarget,
+                      "target " + target.Value() + " is not beside this agent");
   }
   if (incarnation != incarnation_) {
-    // The work may be a resend of what the earlier incarnation began.
     return MayHaveRun(Reason::kFenced, "target " + target.Value() +
                                            ": another owner was chosen");
   }
--- a/tests/agent_fencing_test.cc
+++ b/tests/agent_fencing_test.cc
@@ -83,6 +83,18 @@
   CHECK(rig.Last<StreamEnd>().verdict_.run_state_ == RunState::kMayHaveRun);
 }
 
+TEST_CASE(
+    "agent: work for the node's earlier target was said not to have run") {
+  AgentRig rig;
+  rig.Serve();
+  Dispatch old = AgentRig::Work(1);
+  old.target_ = TargetId("engine-0");
+  old.target_incarnation_ = Incarnation(4);
+  rig.FromEntry(old);
+  CHECK(rig.All<TargetCall>().empty());
+  CHECK(rig.Last<StreamEnd>().verdict_.run_state_ == RunState::kMayHaveRun);
+}
+
 TEST_CASE("agent: the engine dies or restarts and comes back by itself") {
   for (const bool restarts : {false, true}) {
     AgentRig rig;
