Test what a broken call to a target shows, in each order of events

No fault: the verdict of a call is right in twelve orders (refused whole, at once, or held open; refusal cut off or held back in head, body or chunk; closed unread; closed, held or refused while the call's body is still being written), for services and engines. The test passed on the code as it was, after its own expectation was mended once: an engine's cut-off refusal has the reason target-failed, not connection-lost; the run state was right.

--- a/tests/target_driver_test.cc
+++ b/tests/target_driver_test.cc
@@ -4,6 +4,11 @@
 
 #include <doctest/doctest.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <chrono>
 #include <optional>
 #include <vector>
@@ -11,6 +16,7 @@
 #include "standin/engine_standin.h"
 #include "standin/service_standin.h"
 #include "standin/standin_answer.h"
+#include "state/table/verdict_names.h"
 
 namespace gv {
 namespace {
@@ -223,5 +229,103 @@
   CHECK(end.verdict_.reason_ == Reason::kOverloaded);
 }
 
+/** How a raw target behaves on its one connection. */
+struct RawCase {
+  std::string name_;       ///< For people.
+  size_t body_bytes_ = 0;  ///< Of the call.
+  size_t reads_ = 0;       ///< Bytes that the target reads at least.
+  std::string answer_;     ///< What it writes then.
+  bool closes_ = true;     ///< It closes then; else it holds the connection.
+  RunState state_;         ///< The verdict of the call.
+  Reason reason_;          ///< Its reason.
+  Reason of_engine_ = reason_;  ///< The reason at an engine.
+};
+
+/** Accepts one connection and behaves as told. */
+class RawTarget {
+ public:
+  RawTarget(boost::asio::io_context& io, const RawCase& how)
+      : how_(how),
+        acceptor_(io, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+        socket_(io) {
+    boost::asio::co_spawn(io, Run(), boost::asio::detached);
+  }
+  uint16_t Port() const { return acceptor_.local_endpoint().port(); }
+
+ private:
+  boost::asio::awaitable<void> Run() {
+    using boost::asio::use_awaitable;
+    co_await acceptor_.async_accept(socket_, use_awaitable);
+    std::string part(1024, ' ');
+    for (size_t read = 0; read < how_.reads_;) {
+      read += co_await socket_.async_read_some(boost::asio::buffer(part),
+                                               use_awaitable);
+    }
+    co_await boost::asio::async_write(
+        socket_, boost::asio::buffer(how_.answer_), use_awaitable);
+    if (how_.closes_) {
+      socket_.close();
+    }
+  }
+
+  const RawCase& how_;                       ///< Outlives the target.
+  boost::asio::ip::tcp::acceptor acceptor_;  ///< Listens.
+  boost::asio::ip::tcp::socket socket_;      ///< The one connection.
+};
+
+TEST_CASE("target driver: only a whole refusal shows that a call did not run") {
+  constexpr size_t kLarge = 32UL << 20;  // More than the kernel takes unread.
+  const std::string head =
+      "HTTP/1.1 503 Busy\r\nX-Gooseberryvale-Verdict: not-run\r\n"
+      "X-Gooseberryvale-Reason: overloaded\r\n";
+  const std::string whole = head + "Content-Length: 4\r\n\r\nbusy";
+  const std::string cut = head + "Content-Length: 9\r\n\r\nbusy";
+  const std::string cut_chunk =
+      head + "Transfer-Encoding: chunked\r\n\r\n9\r\nbusy";
+  using enum RunState;
+  using enum Reason;
+  const std::vector<RawCase> cases{
+      {"refused", 10, 1, whole, true, kNotRun, kOverloaded},
+      {"refused, held open", 10, 1, whole, false, kNotRun, kOverloaded},
+      {"refused at once", 10, 0, whole, false, kNotRun, kOverloaded},
+      {"refusal cut off", 10, 1, cut, true, kMayHaveRun, kConnectionLost,
+       kTargetFailed},
+      {"refusal held back", 10, 1, cut, false, kMayHaveRun, kDeadline,
+       kTargetFailed},
+      {"chunk cut off", 10, 1, cut_chunk, true, kMayHaveRun, kConnectionLost,
+       kTargetFailed},
+      {"head cut off", 10, 1, head, true, kMayHaveRun, kConnectionLost},
+      {"head held back", 10, 1, head, false, kMayHaveRun, kDeadline},
+      {"closed unread", 10, 0, "", true, kMayHaveRun, kConnectionLost},
+      {"closed in the body", kLarge, 5000, "", true, kMayHaveRun,
+       kConnectionLost},
+      {"held in the body", kLarge, 5000, "", false, kMayHaveRun, kDeadline},
+      {"refused in the body, held", kLarge, 5000, whole, false, kMayHaveRun,
+       kDeadline},
+  };
+  for (const TargetKind kind : {TargetKind::kService, TargetKind::kEngine}) {
+    for (const RawCase& how : cases) {
+      CAPTURE(how.name_);
+      Bench bench;
+      const RawTarget target(bench.io_, how);
+      bench.Connect(target.Port(), kind);
+      TargetCall call = kind == TargetKind::kService
+                            ? ServiceCall(1, "deposit-1")
+                            : EngineCall(1, "");
+      call.dispatch_.spec_.body_ = std::string(how.body_bytes_, 'x');
+      call.dispatch_.time_left_ = 400_ms;
+      bench.driver_->Submit(call);
+      const auto end = bench.Await<TargetEnd>();
+      CHECK_FALSE(end.ok_);
+      CHECK(NameOf(kRunStateNames, end.verdict_.run_state_) ==
+            NameOf(kRunStateNames, how.state_));
+      const Reason reason =
+          kind == TargetKind::kService ? how.reason_ : how.of_engine_;
+      CHECK(NameOf(kReasonNames, end.verdict_.reason_) ==
+            NameOf(kReasonNames, reason));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace gv
