Remember a long attempt from its end, so that a late copy does not run

Cause: attempts were remembered for kAttemptMemory from their start, though the comment said from their end. Copies that meet the attempt in progress do not renew the memory. Ruled out: a claim that finished or may have run is not passed again, it is known by its token. Copies on one connection arrive before the keepalive that ends the attempt, so it needs a copy that comes over an older connection; that was not shown. Change: an attempt that took more than half of kAttemptMemory is remembered again when the agent drops it. An ended attempt now stays refused for at least half of it, unless more than kMaxAttempts newer ones push it out as before. Test: "agent: a late copy of a long call ran after the call was refused" failed before (two calls at the target in place of one) and passes after, for calls that may and may not be repeated. Conclusion: the agent denies no attempt that it may still begin within this time.

--- a/src/coordination/agent_streams.cc
+++ b/src/coordination/agent_streams.cc
@@ -144,10 +144,17 @@
 }
 
 void AgentStreams::OnTick(TimePoint now) {
-  std::erase_if(streams_, [now](const auto& item) {
+  std::erase_if(streams_, [this, now](const auto& item) {
     const AgentStream& stream = item.second;
     const TimePoint needed = std::max(stream.ended_at_, stream.listed_at_);
-    return stream.ended_ && (!stream.wanted_ || now - needed > kEndedLinger);
+    const bool over =
+        stream.ended_ && (!stream.wanted_ || now - needed > kEndedLinger);
+    if (over && now - stream.started_ > kAttemptMemory / 2) {
+      // A long attempt may be forgotten by now, or soon.
+      Fence(now, stream.key_);
+      newest_[stream.key_.request_].started_ = true;
+    }
+    return over;
   });
   while (!by_age_.empty() && (now - by_age_.front().first > kAttemptMemory ||
                               by_age_.size() > kMaxAttempts)) {
--- a/src/coordination/agent_type.h
+++ b/src/coordination/agent_type.h
@@ -25,7 +25,7 @@
 inline constexpr Duration kEndedLinger =
     5_s;  ///< An unacknowledged end is kept for so long.
 inline constexpr Duration kAttemptMemory =
-    60_s;  ///< Ended attempts stay refused for so long.
+    60_s;  ///< Ended attempts stay refused for at least half of it.
 inline constexpr Duration kClaimResend = 500_ms;  ///< Unanswered ClaimFinish.
 inline constexpr Duration kClaimFlush =
     10_s;  ///< A planned stop without work waits so long for ClaimFinished.
--- a/tests/agent_claims_test.cc
+++ b/tests/agent_claims_test.cc
@@ -65,6 +65,28 @@
   }
 }
 
+TEST_CASE("agent: a late copy of a long call ran after the call was refused") {
+  for (const bool idempotent : {false, true}) {
+    CAPTURE(idempotent);
+    AgentRig rig(TargetKind::kService);
+    rig.Serve();
+    Dispatch call = AgentRig::Deposit(1, 20);
+    call.spec_.idempotent_ = idempotent;
+    call.time_left_ = 600_s;
+    rig.FromEntry(call);
+    REQUIRE(rig.All<TargetCall>().size() == 1);
+    rig.PassAlive(kAttemptMemory + 10_s, {1});
+    rig.End(1, false, NotRun(Reason::kOverloaded, "the target refused"));
+    CHECK(rig.Last<StreamEnd>().verdict_.run_state_ == RunState::kNotRun);
+    rig.Keepalive({});
+    rig.Pass(20_ms);
+    REQUIRE(rig.agent_.Streams().All().empty());
+    rig.FromEntry(call);
+    CHECK(rig.All<TargetCall>().size() == 1);
+    CHECK(rig.Last<StreamEnd>().verdict_.run_state_ == RunState::kMayHaveRun);
+  }
+}
+
 TEST_CASE("agent: a cancel that overtakes its dispatch wins") {
   AgentRig rig;
   rig.Serve();
