Tell by the start of an exchange whether its connection is reused

Callers saw: 502 for a request that its target had turned away, if the refusal named no attempt; it could have been told to come back. Cause: TargetConnection counted the exchange as answered before it reported its end, so that an answer was judged as on a reused connection, where it must name its request. Change: the state at the start of an exchange counts. Late and second answers on reused connections are judged as before (gateway_trouble_test).

--- a/src/transport/gateway/target_connection.cc
+++ b/src/transport/gateway/target_connection.cc
@@ -71,6 +71,7 @@
   is_head_ = is_head;
   interim_heads_ = 0;
   unparsed_ = 0;
+  reused_ = answered_;
   ResetParser();
   if (closed_) {
     asio::post(socket_.get_executor(), [self = shared_from_this()]() {
@@ -227,7 +228,7 @@
   if (!input_.empty() || writing_ || !parser_->keep_alive()) {
     keep_ = false;
   }
-  ++answered_;
+  answered_ = true;
   Finish(ExchangeEnd::kComplete);
   if (!keep_) {
     Close();
--- a/src/transport/gateway/target_connection.h
+++ b/src/transport/gateway/target_connection.h
@@ -67,8 +67,8 @@
   const std::string& Address() const { return address_; }
   bool IsBusy() const { return handler_.has_value(); }
   bool IsClosed() const { return closed_; }
-  /** @return True if a request was answered on it before. */
-  bool IsReused() const { return answered_ > 0; }
+  /** @return True if a request was answered on it before the latest one. */
+  bool IsReused() const { return reused_; }
   /** @return True if it may take another request. */
   bool IsReusable() const { return !closed_ && keep_ && !handler_; }
 
@@ -100,7 +100,8 @@
   size_t unparsed_ = 0;                               ///< Of it, as reported.
   std::array<char, 8192> chunk_{};                    ///< Of one read.
   TimePoint opened_;          ///< Start of the connecting.
-  uint64_t answered_ = 0;     ///< Complete exchanges.
+  bool answered_ = false;     ///< An exchange was complete.
+  bool reused_ = false;       ///< answered_ at the start of this exchange.
   int interim_heads_ = 0;     ///< Heads of 1xx before this answer.
   bool connected_ = false;    ///< Ready to send.
   bool writing_ = false;      ///< A write is in progress.
