Never send two attempts of one request over one connection

Callers saw 503 for a request that a target was running, or an unsafe request ran twice. Cause: all attempts of a request bear one id. A target that turned the first one away and was known under a new id at the same address by then got the second one over the same kept connection; a second copy of the refusal, 5 ms later, counted as the answer to the second attempt. The gateway refused, or went on to a third target while the second ran. Class of fault: evidence that is not bound to the attempt that it is used for. Ruled out: two ids at one address beforehand (the directory keeps one); kept connections of other requests (the id differs). Change: a further attempt at an address opens a connection of its own. A connection more is opened only for a second attempt at the same address.

--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -135,6 +135,10 @@
   /** @return True if the caller gets its whole answer in time. */
   bool CanFinishAt(const Placement& placement) const;
   void SendTo(const Placement& placement);
+  /** @return A connection that carried no earlier attempt of this request, as
+   * all of them bear one id and a second copy of an answer could be taken for
+   * that of the next attempt. */
+  std::shared_ptr<TargetConnection> ConnectionTo(const std::string& address);
   void PlaceElsewhere(const TargetId& target, const char* reason);
   std::string BuildRequest(const Placement& placement) const;
   std::vector<std::string> HelperList(const Placement& placement) const;
@@ -241,6 +245,8 @@
       work_id_;  ///< Entry of the attempt in the load ledger.
   /** Targets that failed this request or were not ready for it. */
   std::vector<TargetId> tried_;
+  /** Addresses that attempts were sent to. */
+  std::vector<std::string> asked_addresses_;
   size_t helper_count_ = 0;   ///< Helpers of the latest attempt.
   int64_t sent_ = 0;          ///< Attempts sent to a target.
   int64_t reached_ = 0;       ///< Sent attempts that may have reached a target.
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -116,11 +116,8 @@
   retry_permit_until_ = TimePoint();
   const DirectoryEntry* entry =
       gateway_.Registry().Targets().Find(placement.target_);
-  const bool run_once = !IsRepeatable(route_.kind_, route_.resumable_);
   Attempt attempt;
-  attempt.connection_ =
-      gateway_.Pool().Acquire(now, entry->target_.address_,
-                              run_once ? kMaxIdleRunOnce : kMaxIdleRepeatable);
+  attempt.connection_ = ConnectionTo(entry->target_.address_);
   attempt.target_ = placement.target_;
   attempt.sent_at_ = now;
   attempt.is_trial_ = gateway_.Parts().OnSent(now, service_.name_, parts_);
@@ -148,6 +145,21 @@
                                MakeHandler());
 }
 
+std::shared_ptr<TargetConnection> Forward::ConnectionTo(
+    const std::string& address) {
+  const TimePoint now = gateway_.Now();
+  const bool was_asked =
+      std::find(asked_addresses_.begin(), asked_addresses_.end(), address) !=
+      asked_addresses_.end();
+  if (was_asked) {
+    return gateway_.Pool().Open(now, address);
+  }
+  asked_addresses_.push_back(address);
+  const bool run_once = !IsRepeatable(route_.kind_, route_.resumable_);
+  return gateway_.Pool().Acquire(
+      now, address, run_once ? kMaxIdleRunOnce : kMaxIdleRepeatable);
+}
+
 void Forward::PlaceElsewhere(const TargetId& target, const char* reason) {
   // The target left, asked for a pause or named a limit after it was chosen.
   // The leader may not know yet, so the next placement is made without it.
--- a/src/transport/gateway/target_pool.cc
+++ b/src/transport/gateway/target_pool.cc
@@ -31,6 +31,11 @@
     }
     last.connection_->Cancel();
   }
+  return Open(now, address);
+}
+
+std::shared_ptr<TargetConnection> TargetPool::Open(TimePoint now,
+                                                   const std::string& address) {
   auto connection = std::make_shared<TargetConnection>(
       io_, address, [this](TargetConnection& closed) { OnClosed(closed); });
   open_[connection.get()] = connection;
--- a/src/transport/gateway/target_pool.h
+++ b/src/transport/gateway/target_pool.h
@@ -29,6 +29,9 @@
   std::shared_ptr<TargetConnection> Acquire(TimePoint now,
                                             const std::string& address,
                                             Duration most_idle);
+  /** @return A connection that carried nothing before. */
+  std::shared_ptr<TargetConnection> Open(TimePoint now,
+                                         const std::string& address);
   /** Takes a connection back. @param keep_alive How long the target keeps it,
    * if it said so. */
   void Release(TimePoint now,
