Hold what was shown about earlier attempts in one place

A refusal of a later attempt did not look at an earlier one that may have run before a request that may run only once was sent again, and Forward::Refuse relied on each of its callers for the truth of its status. Change: MayRetry looks at all attempts; Refuse fails the request with 502 where an attempt may have run. Test: "a refusal does not undo an attempt that may have run", which failed before on MayRetry. No path was found that reaches the guard in Refuse; both are suspected, not shown.

--- a/src/coordination/gateway/attempt_policy.cc
+++ b/src/coordination/gateway/attempt_policy.cc
@@ -41,11 +41,14 @@
   if (history.time_left_ < kMinAttemptTime) {
     return false;
   }
+  const bool is_repeatable = IsRepeatable(history.kind_, history.resumable_);
+  if (!is_repeatable && history.may_have_run_ > 0) {
+    return false;
+  }
   if (end.run_ == RunState::kNotRun) {
     return history.sent_ < history.max_targets_ + kExtraAttemptsAfterNotRun;
   }
-  return IsRepeatable(history.kind_, history.resumable_) &&
-         history.may_have_run_ < history.max_targets_ &&
+  return is_repeatable && history.may_have_run_ < history.max_targets_ &&
          history.sent_ < history.max_targets_ + kExtraAttemptsAfterNotRun;
 }
 
--- a/src/transport/gateway/forward.cc
+++ b/src/transport/gateway/forward.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "state/run_promise.h"
 #include "transport/gateway/gateway.h"
 #include "transport/http_reply.h"
 
@@ -232,6 +233,10 @@
 
 void Forward::Refuse(unsigned status, const std::string& reason,
                      Duration retry_after) {
+  if (PromisesNotRun(status) && may_have_run_ > 0) {
+    FailWith(kBadGateway, reason);
+    return;
+  }
   WholeAnswer answer;
   answer.status_ = status;
   answer.fields_.set(http::field::content_type, "application/json");
--- a/tests/gateway_attempt_test.cc
+++ b/tests/gateway_attempt_test.cc
@@ -43,6 +43,14 @@
   CHECK_FALSE(MayRetry(late, kNotRunEnd));
 }
 
+TEST_CASE(
+    "attempt policy: a refusal does not undo an attempt that may have run") {
+  AttemptHistory history = Sent(RouteKind::kUnsafe, false, 1);
+  history.max_targets_ = 2;
+  CHECK_FALSE(MayRetry(history, kNotRunEnd));
+  CHECK(DecideFinalStep(history, kNotRunEnd) == FinalStep::kFail);
+}
+
 TEST_CASE(
     "attempt policy: failed, not refused, if an earlier attempt may have run") {
   // The first attempt may have run, the second was refused by its target.
