Soak: move the targets into files of their own

Change: SoakTargets holds targets, their proxies, registrations and faults; SoakWorld keeps the gateways and the schedule. No change of behaviour.

--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -14,25 +14,16 @@
 namespace gv {
 namespace {
 
-namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kRegistrationPeriod{400};
 constexpr Duration kStart = 1_s;
 /** A gateway counts as disturbed for so long after a fault of its own. */
 constexpr Duration kAfterFault = 2_s;
 /** A member that lost its disk is replaced if those with a disk are left alone
  * for so long. */
 constexpr Duration kRepair = 4_s;
-constexpr uint64_t kPercent = 100;
-/** Time after the acknowledgement of a departure from which a target gets no
- * requests. */
-constexpr Duration kDrain = 2_s;
 /** Faults before it have ended by the departure. */
 constexpr Duration kCalmBefore = 5_s;
-/** From a departure until the target's next start. */
-constexpr Duration kAway = 4_s;
-
 /** @return An address on loopback that only this gateway of this seed uses. */
 std::string AddressOf(uint64_t seed, int index) {
   constexpr uint64_t kSeeds = 200;
@@ -61,129 +52,19 @@
     member.process_->Start(true);
     members_.push_back(std::move(member));
   }
-  for (int i = 0; i < size.targets_; ++i) {
-    AddTarget("shop", i);
-    AddTarget("model", i);
-  }
-  registering_ = std::thread([this]() {
-    while (!stop_) {
-      Register();
-      std::this_thread::sleep_for(kRegistrationPeriod);
-    }
-  });
+  targets_ = std::make_unique<SoakTargets>(
+      ledger, seed, size.targets_,
+      SoakTargetsView{[this]() { return PickControl(); },
+                      [this](uint16_t port, TimePoint time) {
+                        return IsTold(port, time);
+                      }});
 }
 
 SoakWorld::~SoakWorld() {
-  stop_ = true;
-  registering_.join();
   for (Member& member : members_) {
     member.process_->Kill();
   }
-  for (Target& target : targets_) {
-    target.proxy_.reset();
-  }
-}
-
-void SoakWorld::AddTarget(const std::string& service, int index) {
-  Target target;
-  target.id_ = "i-" + service + std::to_string(index);
-  target.service_ = service;
-  target.target_ = std::make_unique<ScriptedTarget>(
-      [this, id = target.id_, life = target.life_.get()](
-          const TargetRequest& request, TargetLine& line) {
-        CheckLeft(*life, request.Header("Gooseberryvale-Attempt-Id"));
-        Serve(id, request, line);
-      });
-  const std::string address = target.target_->Address();
-  const auto port =
-      static_cast<uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
-  target.proxy_ = std::make_unique<FaultProxy>(
-      asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), port));
-  targets_.push_back(std::move(target));
-}
-
-void SoakWorld::Serve(const std::string& id, const TargetRequest& request,
-                      TargetLine& line) {
-  const std::string attempt = request.Header("Gooseberryvale-Attempt-Id");
-  ledger_.OnArrival(attempt[0] == 'r' ? "model" : "shop", attempt);
-  const double limit = id.back() == '0' ? limit_.load() : 0;
-  ledger_.OnLimited(id, attempt.substr(attempt.find('-') + 1),
-                    limit > 0 ? std::optional<double>(limit) : std::nullopt);
-  const std::string named =
-      limit > 0 ? "Server-Limit: " + std::to_string(limit) + "\r\n" : "";
-  const std::string head =
-      "HTTP/1.1 200 OK\r\nGooseberryvale-Attempt-Id: " + attempt + "\r\n" +
-      named;
-  // Some fail, by the attempt, so that a seed fails the same ones.
-  const uint64_t luck =
-      std::hash<std::string>()(attempt + std::to_string(seed_)) % kPercent;
-  constexpr uint64_t kRefuse = 3;
-  constexpr uint64_t kReset = 6;
-  constexpr uint64_t kHang = 8;
-  constexpr uint64_t kRefuseMost = 70;
-  if (luck < (refusing_ ? kRefuseMost : kRefuse)) {
-    line.Send(
-        "HTTP/1.1 503 Full\r\nGooseberryvale-Not-Executed: true\r\n"
-        "Gooseberryvale-Attempt-Id: " +
-        attempt + "\r\n" + named + "Content-Length: 0\r\n\r\n");
-    return;
-  }
-  ledger_.OnRun(attempt, attempt[0] == 'p');
-  if (luck < kReset) {
-    line.Reset();
-    return;
-  }
-  if (luck < kHang) {
-    std::this_thread::sleep_for(milliseconds(1200));
-  }
-  if (attempt[0] != 'r') {
-    const std::string body = "answer to " + attempt;
-    if (line.Send(head +
-                  "Gooseberryvale-Response-Signature: s\r\nContent-Length: " +
-                  std::to_string(body.size()) + "\r\n\r\n" + body)) {
-      ledger_.OnAnswered(attempt);
-    }
-    return;
-  }
-  constexpr int kEvents = 6;
-  const std::string last = request.Header("Last-Event-Id");
-  line.BeginEvents(request, named);
-  for (int event = last.empty() ? 1 : std::stoi(last) + 1; event <= kEvents;
-       ++event) {
-    std::this_thread::sleep_for(milliseconds(30));
-    line.SendEvent(event, attempt);
-    constexpr uint64_t kBreak = 14;
-    if (luck < kBreak && last.empty() && event == 3) {
-      line.Reset();
-      return;
-    }
-  }
-  if (line.Send("0\r\n\r\n")) {
-    ledger_.OnAnswered(attempt);
-  }
-}
-
-void SoakWorld::CheckLeft(const Life& life, const std::string& attempt) {
-  const int64_t left_ms = life.left_ms_;
-  const TimePoint now = SteadyNow();
-  if (left_ms == 0 || now - TimePoint(left_ms) <= kDrain) {
-    return;
-  }
-  // Gateways that are disturbed, or whose leader is, may learn it later.
-  const std::string port = attempt.substr(attempt.find('-') + 1);
-  const TimePoint since(left_ms);
-  const std::scoped_lock lock(mutex_);
-  const Member* sender = Find(static_cast<uint16_t>(std::stoi(port)));
-  const bool is_calm =
-      std::all_of(members_.begin(), members_.end(), [&](const Member& member) {
-        return (!member.process_->HasDisk() && &member != sender) ||
-               member.disturbed_ < since;
-      });
-  if (is_calm && targets_disturbed_ < since) {
-    ledger_.Break(Promise::kLeavingIsKnown,
-                  attempt + " came " + std::to_string((now - since).Ms()) +
-                      " ms after the departure");
-  }
+  targets_.reset();
 }
 
 std::string SoakWorld::PlanDeparture() {
@@ -193,13 +74,13 @@
     return "no departure";
   }
   departs_at_ = SteadyNow() + kCalmBefore;
-  calm_until_ = departs_at_ + kAway;
+  calm_until_ = departs_at_ + kTargetAway;
   return "calm before a departure";
 }
 
 std::string SoakWorld::Depart() {
   departs_at_ = TimePoint();
-  Target& target = targets_[random_() % targets_.size()];
+  const uint64_t which = random_();
   // The loss of one without a disk leaves all others able to know.
   std::vector<Member*> others;
   for (Member& member : members_) {
@@ -208,61 +89,10 @@
     }
   }
   Member& member = *others[random_() % others.size()];
-  target.life_->is_leaving_ = true;
-  target.starts_anew_ = SteadyNow() + kAway;
-  const int status =
-      AskOnce(member.control_->Port(),
-              "DELETE /v1/instances/" + target.id_ +
-                  " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
-              milliseconds(1000))
-          .status_;
-  if (status == 200) {
-    target.life_->left_ms_ = (SteadyNow() - TimePoint()).Ms();
-  }
+  const std::string line = targets_->Depart(which, member.control_->Port());
   member.process_->Kill();
   Touch(member, kStart);
-  return target.id_ + " departs at " + member.process_->Name() + " " +
-         std::to_string(status) + ", which is killed";
-}
-
-void SoakWorld::Register() {
-  for (const Target& target : targets_) {
-    if (target.life_->is_leaving_) {
-      continue;
-    }
-    static std::atomic<uint64_t> sequence{0};
-    const std::string body =
-        R"({"service":")" + target.service_ + R"(","address":"127.0.0.1:)" +
-        std::to_string(target.proxy_->Port()) +
-        R"(","zone":"d1","version":"v1","slots":16,"state":"ready",)" +
-        R"("remainingMs":0,"born":)" + std::to_string(target.life_->start_ms_) +
-        R"(,"sequence":)" + std::to_string(++sequence) + "}";
-    const std::string request = "PUT /v1/instances/" + target.id_ +
-                                " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
-                                "Content-Length: " +
-                                std::to_string(body.size()) + "\r\n\r\n" + body;
-    for (int tries = 0; tries < 3; ++tries) {
-      if (AskOnce(PickControl(), request, milliseconds(300)).status_ == 200) {
-        break;
-      }
-    }
-  }
-}
-
-void SoakWorld::RegisterOddEntry() {
-  constexpr std::array<const char*, 4> kOdd{
-      R"({"service":"shop","address":"127.0.0.1:70000","zone":"d1","slots":1,)"
-      R"("state":"ready","sequence":1})",
-      R"({"service":"shop","address":"127.0.0.1:80","zone":"d1","slots":1,)"
-      R"("state":"ready","sequence":1,"born":18446744073709551615})",
-      "{\"x\":[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[",
-      "\xff\xfe"};
-  const std::string body = kOdd[random_() % kOdd.size()];
-  AskOnce(PickControl(),
-          "PUT /v1/instances/i-odd HTTP/1.1\r\nHost: x\r\nConnection: close"
-          "\r\nContent-Length: " +
-              std::to_string(body.size()) + "\r\n\r\n" + body,
-          milliseconds(300));
+  return line + " at " + member.process_->Name() + ", which is killed";
 }
 
 uint16_t SoakWorld::PickCaller() {
@@ -311,8 +141,18 @@
   const std::scoped_lock lock(mutex_);
   const Member* member = Find(caller_port);
   return member != nullptr && member->unplanned_ < time &&
-         targets_disturbed_ < time &&
-         member->callers_->Get() == LinkFault::kNone;
+         targets_->WasCalm(time) && member->callers_->Get() == LinkFault::kNone;
+}
+
+bool SoakWorld::IsTold(uint16_t caller_port, TimePoint time) const {
+  // Gateways that are disturbed, or whose leader is, may learn it later.
+  const std::scoped_lock lock(mutex_);
+  const Member* sender = Find(caller_port);
+  return std::all_of(
+      members_.begin(), members_.end(), [&](const Member& member) {
+        return (!member.process_->HasDisk() && &member != sender) ||
+               member.disturbed_ < time;
+      });
 }
 
 void SoakWorld::Touch(Member& member, Duration time, bool is_planned) {
@@ -325,12 +165,6 @@
   }
 }
 
-void SoakWorld::TouchTargets(Duration time) {
-  const std::scoped_lock lock(mutex_);
-  targets_disturbed_ =
-      std::max(targets_disturbed_, SteadyNow() + time + kAfterFault);
-}
-
 void SoakWorld::Restart() {
   const TimePoint now = SteadyNow();
   for (Member& member : members_) {
@@ -346,12 +180,6 @@
       member.process_->Start(false);
     }
   }
-  if (now >= refusing_until_) {
-    refusing_ = false;
-  }
-  if (now >= limit_until_) {
-    limit_ = 0;
-  }
   const bool is_calm = std::none_of(
       members_.begin(), members_.end(), [now](const Member& member) {
         return member.process_->HasDisk() && member.disturbed_ >= now;
@@ -360,18 +188,7 @@
   if (now - calm_since_ > kRepair) {
     disk_is_missing_ = false;
   }
-  for (Target& target : targets_) {
-    if (target.starts_anew_ != TimePoint() && now >= target.starts_anew_) {
-      target.starts_anew_ = TimePoint();
-      target.life_->left_ms_ = 0;
-      target.life_->start_ms_ = WallMs();
-      target.life_->is_leaving_ = false;
-    }
-    if (target.calm_ != TimePoint() && now >= target.calm_) {
-      target.calm_ = TimePoint();
-      target.proxy_->Set(LinkFault::kNone);
-    }
-  }
+  targets_->Restart();
 }
 
 std::string SoakWorld::DisturbProcess(Member& member) {
@@ -432,39 +249,6 @@
          std::to_string(time.Ms());
 }
 
-std::string SoakWorld::DisturbTargets() {
-  const Duration time(1000 + static_cast<int64_t>(random_() % 4000));
-  refusing_ = true;
-  refusing_until_ = SteadyNow() + time;
-  TouchTargets(time);
-  return "targets refuse most requests " + std::to_string(time.Ms());
-}
-
-std::string SoakWorld::NameLimit() {
-  constexpr std::array<double, 4> kLimits{0.5, 1, 1.5, 4};
-  limit_ = kLimits[random_() % kLimits.size()];
-  const Duration time(4000 + static_cast<int64_t>(random_() % 6000));
-  limit_until_ = SteadyNow() + time;
-  return "targets name a limit of " + std::to_string(limit_.load()) + " for " +
-         std::to_string(time.Ms());
-}
-
-std::string SoakWorld::DisturbLink() {
-  constexpr std::array<LinkFault, 3> kFaults{
-      LinkFault::kDelay, LinkFault::kSilent, LinkFault::kOneWay};
-  Target& target = targets_[random_() % targets_.size()];
-  const uint64_t kind = random_() % 4;
-  TouchTargets(2_s);
-  if (kind == 3) {
-    target.proxy_->ResetAll();
-    return "reset links of " + target.id_;
-  }
-  target.proxy_->Set(kFaults[kind]);
-  target.calm_ =
-      SteadyNow() + Duration(500 + static_cast<int64_t>(random_() % 1500));
-  return "link fault " + std::to_string(kind) + " at " + target.id_;
-}
-
 std::string SoakWorld::DisturbOnce() {
   switch (random_() % 13) {
     case 0: {
@@ -474,16 +258,17 @@
       return "reset callers of " + member.process_->Name();
     }
     case 1:
-      return DisturbTargets();
+      return targets_->RefuseMost(random_);
     case 2:
-      RegisterOddEntry();
+      targets_->RegisterOddEntry(random_);
       return "odd entry";
     case 3:
-      return NameLimit();
+      return targets_->NameLimit(random_);
     case 4:
       return PlanDeparture();
     default:
-      return random_() % 2 == 0 ? DisturbLink() : DisturbProcess(AnyMember());
+      return random_() % 2 == 0 ? targets_->DisturbLink(random_)
+                                : DisturbProcess(AnyMember());
   }
 }
 
@@ -506,19 +291,12 @@
 }
 
 void SoakWorld::Heal() {
+  targets_->Heal();
   for (Member& member : members_) {
     member.process_->Signal(SIGCONT);
     member.wake_ = TimePoint();
     member.callers_->Set(LinkFault::kNone);
   }
-  for (Target& target : targets_) {
-    target.calm_ = TimePoint();
-    target.proxy_->Set(LinkFault::kNone);
-    if (target.starts_anew_ != TimePoint()) {
-      target.starts_anew_ = SteadyNow();
-    }
-  }
-  refusing_until_ = TimePoint();
   Restart();
 }
 
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -2,18 +2,16 @@
  * a schedule of faults that a seed gives. */
 #pragma once
 
-#include <atomic>
 #include <memory>
 #include <mutex>
 #include <random>
 #include <string>
-#include <thread>
 #include <vector>
 
-#include "platform/scripted_target.h"
 #include "soak/fault_proxy.h"
 #include "soak/soak_ledger.h"
 #include "soak/soak_process.h"
+#include "soak/soak_targets.h"
 #include "transport/steady_clock.h"
 
 namespace gv {
@@ -64,42 +62,17 @@
     TimePoint unplanned_;  ///< The same, without planned stops and reloads.
     TimePoint wake_;       ///< When a stopped one goes on; or none.
   };
-  /** A start of a target. Thread safety: any thread. */
-  struct Life {
-    std::atomic<int64_t> start_ms_ = WallMs();  ///< Wall time.
-    std::atomic<bool> is_leaving_ = false;      ///< It registers no more.
-    /** When its departure was acknowledged, in ms; zero before. */
-    std::atomic<int64_t> left_ms_ = 0;
-  };
-  /** A target, and the proxy in front of it. */
-  struct Target {
-    std::string id_;
-    std::string service_;
-    std::unique_ptr<ScriptedTarget> target_;
-    std::unique_ptr<FaultProxy> proxy_;
-    TimePoint calm_;  ///< When its link is mended.
-    std::unique_ptr<Life> life_ = std::make_unique<Life>();
-    TimePoint starts_anew_;  ///< After its departure; or none.
-  };
-
-  void AddTarget(const std::string& service, int index);
-  void Serve(const std::string& id, const TargetRequest& request,
-             TargetLine& line);
-  void Register();
-  void CheckLeft(const Life& life, const std::string& attempt);
+  /** @return True if the gateway of a callers' port, and all with a disk, were
+   * left alone since @p time. Thread safety: any thread. */
+  bool IsTold(uint16_t caller_port, TimePoint time) const;
   std::string PlanDeparture();
   std::string Depart();
-  void RegisterOddEntry();
   void Restart();
   void Touch(Member& member, Duration time, bool is_planned = false);
-  void TouchTargets(Duration time);
   const Member* Find(uint16_t caller_port) const;
   Member& AnyMember() { return members_[random_() % members_.size()]; }
   std::string DisturbProcess(Member& member);
   std::string SignalInSeries(Member& member);
-  std::string DisturbTargets();
-  std::string NameLimit();
-  std::string DisturbLink();
   std::string DisturbOnce();
 
   SoakLedger& ledger_;
@@ -108,19 +81,11 @@
   std::vector<Member> members_;
   bool disk_is_missing_ = false;  ///< A lost disk may not be replaced yet.
   TimePoint calm_since_;  ///< Members with a disk are left alone since then.
-  std::vector<Target> targets_;
   TimePoint departs_at_;  ///< When a target departs; or none.
   TimePoint calm_until_;  ///< No faults before; for what calm gateways know.
-  std::atomic<bool> refusing_ = false;  ///< Targets refuse most requests.
-  TimePoint refusing_until_;
-  /** Limit that the first target of each service names; zero for none. */
-  std::atomic<double> limit_ = 0;
-  TimePoint limit_until_;
-  TimePoint targets_disturbed_;  ///< Until then, at least.
-  mutable std::mutex mutex_;     ///< Guards these times and port_random_.
+  mutable std::mutex mutex_;  ///< Guards these times and port_random_.
   std::mt19937_64 port_random_;
-  std::atomic<bool> stop_ = false;
-  std::thread registering_;
+  std::unique_ptr<SoakTargets> targets_;  ///< Ends before the members.
 };
 
 }  // namespace gv
