Soak: let targets fail after they ran, refuse twice, stop and share an address

Targets answered 503 only with Not-Executed, so the soak could not see that a gateway passes on a promise that a target has not made. One gateway is stopped while another is frozen. What is new draws from a generator of its own, so the older schedule of a seed stays. A signature now belongs to attempt and status: any success without it, and any failure with another status than the target's, breaks own-whole-answer.

--- a/tests/soak/soak_clients.cc
+++ b/tests/soak/soak_clients.cc
@@ -75,6 +75,7 @@
   if (parser.is_header_done()) {
     answer.status_ = static_cast<int>(parser.get().result_int());
     answer.body_ = parser.get().body();
+    answer.signature_ = parser.get()["Gooseberryvale-Response-Signature"];
   }
   if (!answer.whole_ || !parser.keep_alive()) {
     stream_.reset();
@@ -83,6 +84,10 @@
   return answer;
 }
 
+std::string SoakSignature(const std::string& attempt, int status) {
+  return attempt + "." + std::to_string(status);
+}
+
 SoakAnswer AskOnce(uint16_t port, const std::string& request,
                    milliseconds timeout) {
   return SoakConnection(port).Ask(request, timeout);
@@ -149,8 +154,17 @@
 
 void SoakCaller::Check(const std::string& attempt, const SoakAnswer& answer,
                        bool is_stream) {
+  const bool needs_signature = answer.status_ == 200;
+  if ((needs_signature || !answer.signature_.empty()) &&
+      answer.signature_ != SoakSignature(attempt, answer.status_)) {
+    ledger_.Break(Promise::kOwnWholeAnswer,
+                  attempt + " got " + std::to_string(answer.status_) +
+                      " signed '" + answer.signature_ + "'");
+  }
   if (IsRefusal(answer.status_)) {
-    ledger_.OnRefused(attempt);
+    ledger_.OnRefused(attempt,
+                      std::to_string(answer.status_) +
+                          (answer.signature_.empty() ? "" : " signed"));
     return;
   }
   if (answer.status_ != 200) {
--- a/tests/soak/soak_clients.h
+++ b/tests/soak/soak_clients.h
@@ -19,11 +19,15 @@
 
 /** The answer to one request. */
 struct SoakAnswer {
-  int status_ = 0;      ///< 0 if the connection ended first.
-  bool whole_ = false;  ///< The answer came to its end.
-  std::string body_;    ///< Without the chunked coding.
+  int status_ = 0;         ///< 0 if the connection ended first.
+  bool whole_ = false;     ///< The answer came to its end.
+  std::string body_;       ///< Without the chunked coding.
+  std::string signature_;  ///< Of the target; or empty.
 };
 
+/** @return The signature of a target's answer with @p status. */
+std::string SoakSignature(const std::string& attempt, int status);
+
 /** A caller's connection, which is used for as long as it is open. Blocks.
  * Thread safety: one thread. */
 class SoakConnection {
--- a/tests/soak/soak_ledger.cc
+++ b/tests/soak/soak_ledger.cc
@@ -115,29 +115,33 @@
 
 void SoakLedger::OnRun(const std::string& attempt, bool is_unsafe) {
   int64_t runs = 0;
-  bool refused = false;
+  std::string refused;
   {
     const std::scoped_lock lock(mutex_);
     runs = ++runs_[attempt];
-    refused = refused_.contains(attempt);
+    const auto found = refused_.find(attempt);
+    refused = found == refused_.end() ? "" : found->second;
   }
   if (is_unsafe && runs > 1) {
     Break(Promise::kOnceAtMost, attempt + " ran again");
   }
-  if (refused) {
-    Break(Promise::kNotRunIsTrue, attempt + " ran after its refusal");
+  if (!refused.empty()) {
+    Break(Promise::kNotRunIsTrue,
+          attempt + " ran after its refusal, " + refused);
   }
 }
 
-void SoakLedger::OnRefused(const std::string& attempt) {
+void SoakLedger::OnRefused(const std::string& attempt,
+                           const std::string& answer) {
   bool ran = false;
   {
     const std::scoped_lock lock(mutex_);
-    refused_[attempt] = true;
+    refused_[attempt] = answer;
     ran = runs_.contains(attempt);
   }
   if (ran) {
-    Break(Promise::kNotRunIsTrue, attempt + " ran before its refusal");
+    Break(Promise::kNotRunIsTrue,
+          attempt + " ran before its refusal, " + answer);
   }
 }
 
--- a/tests/soak/soak_ledger.h
+++ b/tests/soak/soak_ledger.h
@@ -56,8 +56,8 @@
   void CheckRetries();
   /** A target began to work on a request. */
   void OnRun(const std::string& attempt, bool is_unsafe);
-  /** A caller was told that its request did not run. */
-  void OnRefused(const std::string& attempt);
+  /** A caller was told by @p answer that its request did not run. */
+  void OnRefused(const std::string& attempt, const std::string& answer);
   /** Notes a broken promise. */
   void Break(Promise promise, const std::string& what);
   /** An operator's configuration was acknowledged. */
@@ -75,10 +75,10 @@
   RetryRule& RetriesOf(const std::string& service);
 
   mutable std::mutex mutex_;
-  std::map<std::string, int64_t> runs_;  ///< By attempt.
-  std::map<std::string, bool> refused_;  ///< By attempt.
-  std::set<std::string> arrived_;        ///< Attempts that reached a target.
-  std::set<std::string> answered_;       ///< Attempts with a whole answer.
+  std::map<std::string, int64_t> runs_;         ///< By attempt.
+  std::map<std::string, std::string> refused_;  ///< Answers, by attempt.
+  std::set<std::string> arrived_;   ///< Attempts that reached a target.
+  std::set<std::string> answered_;  ///< Attempts with a whole answer.
   std::map<std::string, RetryRule> retries_;  ///< By service.
   std::map<std::string, LimitRule> limits_;   ///< By target.
   std::vector<std::string> broken_;
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -30,7 +30,7 @@
 constexpr Duration kRecovery = 12_s;
 constexpr int kAsksOfCheck = 12;
 constexpr int kServedOfCheck = 8;
-/** A round fails by chance once in 700, as targets fail one request in twelve;
+/** A round fails by chance once in 75, as targets fail one request in eight;
  * with many gateways the time is over after the first ones. */
 constexpr int kLeastRounds = 3;
 
--- a/tests/soak/soak_targets.cc
+++ b/tests/soak/soak_targets.cc
@@ -1,4 +1,4 @@
-/** @file soak_targets.cc What targets answer, and their faults. */
+/** @file soak_targets.cc Registrations of targets, and their faults. */
 #include "soak/soak_targets.h"
 
 #include <algorithm>
@@ -15,12 +15,10 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kRegistrationPeriod{400};
-constexpr uint64_t kPercent = 100;
-/** Time after the acknowledgement of a departure from which a target gets no
- * requests. */
-constexpr Duration kDrain = 2_s;
 /** Targets count as disturbed for so long after a fault of theirs. */
 constexpr Duration kAfterFault = 2_s;
+/** Between the end of a target and its next start. */
+constexpr Duration kBetweenStarts = 400_ms;
 
 }  // namespace
 
@@ -45,6 +43,8 @@
   for (Target& target : targets_) {
     target.proxy_.reset();
   }
+  // Their threads use the other members.
+  targets_.clear();
 }
 
 void SoakTargets::Add(const std::string& service, int index) {
@@ -52,10 +52,9 @@
   target.id_ = "i-" + service + std::to_string(index);
   target.service_ = service;
   target.target_ = std::make_unique<ScriptedTarget>(
-      [this, id = target.id_, life = target.life_.get()](
-          const TargetRequest& request, TargetLine& line) {
-        CheckLeft(*life, request.Header("Gooseberryvale-Attempt-Id"));
-        Serve(id, request, line);
+      [this, which = targets_.size()](const TargetRequest& request,
+                                      TargetLine& line) {
+        Serve(targets_[which], request, line);
       });
   const std::string address = target.target_->Address();
   const auto port =
@@ -65,120 +64,58 @@
   targets_.push_back(std::move(target));
 }
 
-void SoakTargets::Serve(const std::string& id, const TargetRequest& request,
-                        TargetLine& line) {
-  const std::string attempt = request.Header("Gooseberryvale-Attempt-Id");
-  ledger_.OnArrival(attempt[0] == 'r' ? "model" : "shop", attempt);
-  const double limit = id.back() == '0' ? limit_.load() : 0;
-  ledger_.OnLimited(id, attempt.substr(attempt.find('-') + 1),
-                    limit > 0 ? std::optional<double>(limit) : std::nullopt);
-  const std::string named =
-      limit > 0 ? "Server-Limit: " + std::to_string(limit) + "\r\n" : "";
-  const std::string head =
-      "HTTP/1.1 200 OK\r\nGooseberryvale-Attempt-Id: " + attempt + "\r\n" +
-      named;
-  // Some fail, by the attempt, so that a seed fails the same ones.
-  const uint64_t luck =
-      std::hash<std::string>()(attempt + std::to_string(seed_)) % kPercent;
-  constexpr uint64_t kRefuse = 3;
-  constexpr uint64_t kReset = 6;
-  constexpr uint64_t kHang = 8;
-  constexpr uint64_t kRefuseMost = 70;
-  if (luck < (refusing_ ? kRefuseMost : kRefuse)) {
-    line.Send(
-        "HTTP/1.1 503 Full\r\nGooseberryvale-Not-Executed: true\r\n"
-        "Gooseberryvale-Attempt-Id: " +
-        attempt + "\r\n" + named + "Content-Length: 0\r\n\r\n");
-    return;
-  }
-  ledger_.OnRun(attempt, attempt[0] == 'p');
-  if (luck < kReset) {
-    line.Reset();
-    return;
-  }
-  if (luck < kHang) {
-    std::this_thread::sleep_for(milliseconds(1200));
-  }
-  if (attempt[0] != 'r') {
-    const std::string body = "answer to " + attempt;
-    if (line.Send(head +
-                  "Gooseberryvale-Response-Signature: s\r\nContent-Length: " +
-                  std::to_string(body.size()) + "\r\n\r\n" + body)) {
-      ledger_.OnAnswered(attempt);
-    }
-    return;
-  }
-  constexpr int kEvents = 6;
-  const std::string last = request.Header("Last-Event-Id");
-  line.BeginEvents(request, named);
-  for (int event = last.empty() ? 1 : std::stoi(last) + 1; event <= kEvents;
-       ++event) {
-    std::this_thread::sleep_for(milliseconds(30));
-    line.SendEvent(event, attempt);
-    constexpr uint64_t kBreak = 14;
-    if (luck < kBreak && last.empty() && event == 3) {
-      line.Reset();
-      return;
-    }
-  }
-  if (line.Send("0\r\n\r\n")) {
-    ledger_.OnAnswered(attempt);
-  }
-}
-
-void SoakTargets::CheckLeft(const Life& life, const std::string& attempt) {
-  const int64_t left_ms = life.left_ms_;
-  const TimePoint now = SteadyNow();
-  if (left_ms == 0 || now - TimePoint(left_ms) <= kDrain) {
-    return;
-  }
-  const std::string port = attempt.substr(attempt.find('-') + 1);
-  const TimePoint since(left_ms);
-  if (view_.is_told_(static_cast<uint16_t>(std::stoi(port)), since) &&
-      WasCalm(since)) {
-    ledger_.Break(Promise::kLeavingIsKnown,
-                  attempt + " came " + std::to_string((now - since).Ms()) +
-                      " ms after the departure");
-  }
-}
-
 std::string SoakTargets::Depart(uint64_t which, uint16_t control_port) {
   Target& target = targets_[which % targets_.size()];
   target.life_->is_leaving_ = true;
   target.starts_anew_ = SteadyNow() + kTargetAway;
-  const int status =
-      AskOnce(control_port,
-              "DELETE /v1/instances/" + target.id_ +
-                  " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
-              milliseconds(1000))
-          .status_;
+  const int status = Deregister(target, control_port, milliseconds(1000));
   if (status == 200) {
     target.life_->left_ms_ = (SteadyNow() - TimePoint()).Ms();
   }
   return target.id_ + " departs " + std::to_string(status);
 }
 
+int SoakTargets::Deregister(const Target& target, uint16_t control_port,
+                            milliseconds timeout) {
+  return AskOnce(control_port,
+                 "DELETE /v1/instances/" + target.id_ +
+                     " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+                 timeout)
+      .status_;
+}
+
 void SoakTargets::Register() {
   for (const Target& target : targets_) {
-    if (target.life_->is_leaving_) {
+    const Life& life = *target.life_;
+    if (life.is_leaving_) {
       continue;
     }
-    static std::atomic<uint64_t> sequence{0};
-    const std::string body =
-        R"({"service":")" + target.service_ + R"(","address":"127.0.0.1:)" +
-        std::to_string(target.proxy_->Port()) +
-        R"(","zone":"d1","version":"v1","slots":16,"state":"ready",)" +
-        R"("remainingMs":0,"born":)" + std::to_string(target.life_->start_ms_) +
-        R"(,"sequence":)" + std::to_string(++sequence) + "}";
-    const std::string request = "PUT /v1/instances/" + target.id_ +
-                                " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
-                                "Content-Length: " +
-                                std::to_string(body.size()) + "\r\n\r\n" + body;
-    for (int tries = 0; tries < 3; ++tries) {
-      if (AskOnce(view_.pick_control_(), request, milliseconds(300)).status_ ==
-          200) {
-        break;
-      }
+    RegisterAs(target, target.id_, life.start_ms_);
+    const int64_t stale_start_ms = life.stale_start_ms_;
+    if (stale_start_ms != 0) {
+      RegisterAs(target, target.id_ + "-stale", stale_start_ms);
+    }
+  }
+}
+
+void SoakTargets::RegisterAs(const Target& target, const std::string& id,
+                             int64_t start_ms) {
+  static std::atomic<uint64_t> sequence{0};
+  const std::string body =
+      R"({"service":")" + target.service_ + R"(","address":"127.0.0.1:)" +
+      std::to_string(target.proxy_->Port()) +
+      R"(","zone":"d1","version":"v1","slots":16,"state":")" +
+      (target.life_->is_draining_ ? "draining" : "ready") +
+      R"(","remainingMs":0,"born":)" + std::to_string(start_ms) +
+      R"(,"sequence":)" + std::to_string(++sequence) + "}";
+  const std::string request = "PUT /v1/instances/" + id +
+                              " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+                              "Content-Length: " +
+                              std::to_string(body.size()) + "\r\n\r\n" + body;
+  for (int tries = 0; tries < 3; ++tries) {
+    if (AskOnce(view_.pick_control_(), request, milliseconds(300)).status_ ==
+        200) {
+      break;
     }
   }
 }
@@ -213,10 +150,26 @@
     limit_ = 0;
   }
   for (Target& target : targets_) {
+    if (target.ends_ != TimePoint() && now >= target.ends_) {
+      target.ends_ = TimePoint();
+      target.life_->is_leaving_ = true;
+      target.life_->is_ended_ = true;
+      Deregister(target, view_.pick_control_(), milliseconds(300));
+      target.starts_anew_ = now + kBetweenStarts;
+    }
+    if (target.stale_until_ != TimePoint() && now >= target.stale_until_) {
+      target.stale_until_ = TimePoint();
+      target.life_->stale_start_ms_ = 0;
+    }
     if (target.starts_anew_ != TimePoint() && now >= target.starts_anew_) {
       target.starts_anew_ = TimePoint();
+      if (target.life_->is_ended_) {
+        target.proxy_->ResetAll();
+      }
       target.life_->left_ms_ = 0;
       target.life_->start_ms_ = WallMs();
+      target.life_->is_draining_ = false;
+      target.life_->is_ended_ = false;
       target.life_->is_leaving_ = false;
     }
     if (target.calm_ != TimePoint() && now >= target.calm_) {
@@ -230,6 +183,10 @@
   for (Target& target : targets_) {
     target.calm_ = TimePoint();
     target.proxy_->Set(LinkFault::kNone);
+    target.life_->stale_start_ms_ = 0;
+    if (target.ends_ != TimePoint()) {
+      target.ends_ = SteadyNow();
+    }
     if (target.starts_anew_ != TimePoint()) {
       target.starts_anew_ = SteadyNow();
     }
@@ -260,6 +217,29 @@
          std::to_string(time.Ms());
 }
 
+std::string SoakTargets::StopOne(std::mt19937_64& random) {
+  Target& target = targets_[random() % targets_.size()];
+  const Duration time(300 + static_cast<int64_t>(random() % 900));
+  if (target.life_->is_leaving_ || target.life_->is_draining_) {
+    return target.id_ + " stops already";
+  }
+  Touch(time + kAfterFault);
+  target.life_->is_draining_ = true;
+  target.ends_ = SteadyNow() + time;
+  return target.id_ + " drains and ends after " + std::to_string(time.Ms());
+}
+
+std::string SoakTargets::RegisterStale(std::mt19937_64& random) {
+  Target& target = targets_[random() % targets_.size()];
+  const auto older_ms = static_cast<int64_t>(random() % 3) * 1000;
+  const Duration time(1000 + static_cast<int64_t>(random() % 3000));
+  target.life_->stale_start_ms_ = target.life_->start_ms_ - older_ms;
+  target.stale_until_ = SteadyNow() + time;
+  return "a stale id at the address of " + target.id_ + ", " +
+         std::to_string(older_ms) + " ms older, for " +
+         std::to_string(time.Ms());
+}
+
 std::string SoakTargets::DisturbLink(std::mt19937_64& random) {
   constexpr std::array<LinkFault, 3> kFaults{
       LinkFault::kDelay, LinkFault::kSilent, LinkFault::kOneWay};
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -34,7 +34,11 @@
 }  // namespace
 
 SoakWorld::SoakWorld(const SoakSize& size, SoakLedger& ledger, uint64_t seed)
-    : ledger_(ledger), random_(seed), seed_(seed), port_random_(seed + 1) {
+    : ledger_(ledger),
+      random_(seed),
+      more_random_(seed + 2),
+      seed_(seed),
+      port_random_(seed + 1) {
   const int gateways = size.disks_ + size.others_;
   std::string seeds;
   for (int i = 0; i < size.disks_; ++i) {
@@ -272,6 +276,36 @@
   }
 }
 
+std::string SoakWorld::DisturbMore() {
+  switch (more_random_() % 6) {
+    case 0:
+      return "; " + targets_->StopOne(more_random_);
+    case 1:
+      return "; " + targets_->RegisterStale(more_random_);
+    case 2:
+      return "; " + StopWhileFrozen();
+    default:
+      return "";
+  }
+}
+
+std::string SoakWorld::StopWhileFrozen() {
+  // Changes of the configuration go on meanwhile, and callers keep their
+  // connections.
+  const size_t first = more_random_() % members_.size();
+  const size_t more = 1 + more_random_() % (members_.size() - 1);
+  Member& frozen = members_[first];
+  Member& stopped = members_[(first + more) % members_.size()];
+  const Duration time(1500 + static_cast<int64_t>(more_random_() % 1500));
+  Touch(frozen, time);
+  frozen.wake_ = SteadyNow() + time;
+  frozen.process_->Signal(SIGSTOP);
+  Touch(stopped, kStart, true);
+  stopped.process_->Signal(SIGTERM);
+  return "freeze " + frozen.process_->Name() + " " + std::to_string(time.Ms()) +
+         " and stop " + stopped.process_->Name();
+}
+
 std::string SoakWorld::Disturb() {
   Restart();
   const TimePoint now = SteadyNow();
@@ -287,7 +321,7 @@
   for (uint64_t more = random_() % kMostAtOnce; more > 0; --more) {
     line += "; " + DisturbOnce();
   }
-  return line;
+  return line + DisturbMore();
 }
 
 void SoakWorld::Heal() {
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -74,9 +74,14 @@
   std::string DisturbProcess(Member& member);
   std::string SignalInSeries(Member& member);
   std::string DisturbOnce();
+  /** Adds what the schedule of a seed had not at first. */
+  std::string DisturbMore();
+  std::string StopWhileFrozen();
 
   SoakLedger& ledger_;
   std::mt19937_64 random_;
+  /** Of what was added, so that the older schedule of a seed stays. */
+  std::mt19937_64 more_random_;
   uint64_t seed_;
   std::vector<Member> members_;
   bool disk_is_missing_ = false;  ///< A lost disk may not be replaced yet.
