--- a/src/coordination/gateway/attempt_policy.cc
+++ b/src/coordination/gateway/attempt_policy.cc
@@ -20,7 +20,8 @@
 
 AnswerUse JudgeAnswer(const TargetAnswer& answer) {
   const bool is_success = answer.status_ < kRedirect;
-  if (!answer.is_own_ || (is_success && !answer.has_signature_)) {
+  const bool is_sound_success = answer.has_signature_ && !answer.not_run_;
+  if (!answer.is_own_ || (is_success && !is_sound_success)) {
     return AnswerUse::kIgnore;
   }
   if (answer.not_run_) {
