--- a/src/transport/gateway/caller_connection.cc
+++ b/src/transport/gateway/caller_connection.cc
@@ -207,7 +207,7 @@
   }
   if (!close_after_ && !input_.empty()) {
     asio::post(socket_.get_executor(), [self = shared_from_this()]() {
-      if (!self->closed_ && !self->busy_) {
+      if (!self->closed_ && !self->busy_ && !self->close_after_) {
         self->Parse();
       }
     });
