End the open attempt when an earlier target's failure is passed on

Change: only a target's own answer releases its attempt; End cancels any other. Test: "refused and run: a kept failure ends the attempt that is open".

--- a/src/transport/gateway/forward_answer.cc
+++ b/src/transport/gateway/forward_answer.cc
@@ -89,7 +89,12 @@
 
 void Forward::FinishAnswer() {
   if (!attempt_->is_streamed_) {
-    PassWholeAnswer(TakeWholeAnswer());
+    if (!IsPrompt()) {
+      gateway_.TimesOf(service_.name_).Add(gateway_.Now() - attempt_->sent_at_);
+    }
+    const WholeAnswer answer = TakeWholeAnswer();
+    attempt_.reset();
+    PassWholeAnswer(answer);
     return;
   }
   if (!answer_begun_) {
@@ -120,15 +125,11 @@
 }
 
 void Forward::PassWholeAnswer(const WholeAnswer& answer) {
-  if (attempt_ && !IsPrompt()) {
-    gateway_.TimesOf(service_.name_).Add(gateway_.Now() - attempt_->sent_at_);
-  }
   Log(EventId::kForwardFinished,
       "status=" + std::to_string(answer.status_) + RunDetail() +
           " total_ms=" + std::to_string((gateway_.Now() - arrived_).Ms()));
   gateway_.ObserveFirstEvent(route_.kind_, gateway_.Now() - arrived_);
   gateway_.Count(route_.kind_, "finished");
-  attempt_.reset();
   End();
   caller_->Reply(answer, gateway_.IsStopping());
 }
