Keep requests with one id, or none, off each other's connections

Cause: answers on a reused connection are told apart by the id only, and two requests with one id, or with none, cannot be. Change: a connection knows the id of its latest request and takes no other with it; requests without an id open one of their own.

--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -147,17 +147,15 @@
 
 std::shared_ptr<TargetConnection> Forward::ConnectionTo(
     const std::string& address) {
-  const TimePoint now = gateway_.Now();
   const bool was_asked =
       std::find(asked_addresses_.begin(), asked_addresses_.end(), address) !=
       asked_addresses_.end();
-  if (was_asked) {
-    return gateway_.Pool().Open(now, address);
-  }
   asked_addresses_.push_back(address);
   const bool run_once = !IsRepeatable(route_.kind_, route_.resumable_);
-  return gateway_.Pool().Acquire(
-      now, address, run_once ? kMaxIdleRunOnce : kMaxIdleRepeatable);
+  const Duration longest = run_once ? kMaxIdleRunOnce : kMaxIdleRepeatable;
+  return gateway_.Pool().AcquireFor(
+      facts_.attempt_, gateway_.Now(), address,
+      was_asked ? std::nullopt : std::optional(longest));
 }
 
 void Forward::PlaceElsewhere(const TargetId& target, const char* reason) {
--- a/src/transport/gateway/target_connection.h
+++ b/src/transport/gateway/target_connection.h
@@ -69,6 +69,10 @@
   bool IsClosed() const { return closed_; }
   /** @return True if a request was answered on it before the latest one. */
   bool IsReused() const { return reused_; }
+  /** Notes the id that the next request and its answers bear. */
+  void SetExchangeId(std::string id) { exchange_id_ = std::move(id); }
+  /** @return The id of the latest request; empty if it had none. */
+  const std::string& ExchangeId() const { return exchange_id_; }
   /** @return True if it may take another request. */
   bool IsReusable() const { return !closed_ && keep_ && !handler_; }
 
@@ -95,12 +99,13 @@
   std::function<void(TargetConnection&)> on_closed_;  ///< To the pool.
   std::optional<ExchangeHandler> handler_;            ///< Of the exchange.
   std::optional<Parser> parser_;                      ///< Of the answer.
-  std::string request_;                               ///< Being sent.
-  std::string input_;                                 ///< Read, not yet parsed.
-  size_t unparsed_ = 0;                               ///< Of it, as reported.
-  std::array<char, 8192> chunk_{};                    ///< Of one read.
-  TimePoint opened_;          ///< Start of the connecting.
-  bool answered_ = false;     ///< An exchange was complete.
+  std::string exchange_id_;         ///< Of the latest request.
+  std::string request_;             ///< Being sent.
+  std::string input_;               ///< Read, not yet parsed.
+  size_t unparsed_ = 0;             ///< Of it, as reported.
+  std::array<char, 8192> chunk_{};  ///< Of one read.
+  TimePoint opened_;                ///< Start of the connecting.
+  bool answered_ = false;           ///< An exchange was complete.
   bool reused_ = false;       ///< answered_ at the start of this exchange.
   int interim_heads_ = 0;     ///< Heads of 1xx before this answer.
   bool connected_ = false;    ///< Ready to send.
--- a/src/transport/gateway/target_pool.cc
+++ b/src/transport/gateway/target_pool.cc
@@ -18,11 +18,13 @@
 }  // namespace
 
 std::shared_ptr<TargetConnection> TargetPool::Acquire(
-    TimePoint now, const std::string& address, Duration most_idle) {
+    TimePoint now, const std::string& address, Duration most_idle,
+    const std::optional<std::string>& id) {
   auto& idle = idle_[address];
   while (!idle.empty()) {
     const Idle last = idle.back();
-    if (now - last.since_ > most_idle) {
+    const bool is_ambiguous = id && last.connection_->ExchangeId() == *id;
+    if (now - last.since_ > most_idle || is_ambiguous) {
       break;
     }
     idle.pop_back();
@@ -34,6 +36,16 @@
   return Open(now, address);
 }
 
+std::shared_ptr<TargetConnection> TargetPool::AcquireFor(
+    const std::string& id, TimePoint now, const std::string& address,
+    std::optional<Duration> most_idle) {
+  auto connection = most_idle && !id.empty()
+                        ? Acquire(now, address, *most_idle, id)
+                        : Open(now, address);
+  connection->SetExchangeId(id);
+  return connection;
+}
+
 std::shared_ptr<TargetConnection> TargetPool::Open(TimePoint now,
                                                    const std::string& address) {
   auto connection = std::make_shared<TargetConnection>(
--- a/src/transport/gateway/target_pool.h
+++ b/src/transport/gateway/target_pool.h
@@ -25,13 +25,20 @@
   /**
    * Gives out a connection, opened if there is no idle one.
    * @param most_idle Connections that were idle for longer are not used.
+   * @param id Those whose latest request had this id are not used either.
    */
-  std::shared_ptr<TargetConnection> Acquire(TimePoint now,
-                                            const std::string& address,
-                                            Duration most_idle);
-  /** @return A connection that carried nothing before. */
-  std::shared_ptr<TargetConnection> Open(TimePoint now,
-                                         const std::string& address);
+  std::shared_ptr<TargetConnection> Acquire(
+      TimePoint now, const std::string& address, Duration most_idle,
+      const std::optional<std::string>& id = std::nullopt);
+  /**
+   * The same for a request with an id. A second copy of an answer on the same
+   * connection is told apart by its id only, so a connection whose latest
+   * request had the same one is not used, and none for a request without an id.
+   * @param most_idle Nothing to open a connection in any case.
+   */
+  std::shared_ptr<TargetConnection> AcquireFor(
+      const std::string& id, TimePoint now, const std::string& address,
+      std::optional<Duration> most_idle);
   /** Takes a connection back. @param keep_alive How long the target keeps it,
    * if it said so. */
   void Release(TimePoint now,
@@ -53,6 +60,8 @@
     TimePoint until_;                               ///< When it is closed.
   };
 
+  std::shared_ptr<TargetConnection> Open(TimePoint now,
+                                         const std::string& address);
   void OnClosed(TargetConnection& connection);
   std::vector<std::shared_ptr<TargetConnection>> OpenOnes() const;
 
