--- a/src/coordination/gateway/attempt_policy.h
+++ b/src/coordination/gateway/attempt_policy.h
@@ -1,6 +1,7 @@
-/** @file attempt_policy.h Retry policy for failed attempts. A request that must
- * not run more than once is never sent again after it may have run, and a
- * caller is told "not run" only if no attempt can have run. */
+/** @file attempt_policy.h Judges answers of targets, and decides on retries of
+ * failed attempts. A request that must not run more than once is never sent
+ * again after it may have run, and a caller is told "not run" only if no
+ * attempt can have run. */
 #pragma once
 
 #include "state/clock_type.h"
@@ -42,7 +43,7 @@
 struct TargetAnswer {
   unsigned status_ = 0;         ///< HTTP status.
   bool is_own_ = false;         ///< It answers this attempt.
-  bool has_signature_ = false;  ///< Its body is the target's own.
+  bool has_signature_ = false;  ///< Signed, and its body is not encoded.
   bool not_run_ = false;        ///< States that the target did not run it.
 };
 
--- a/src/state/table/events.h
+++ b/src/state/table/events.h
@@ -134,9 +134,8 @@
     {EventId::kRetryRefused, "retry-refused", EventLevel::kInfo,
      "The leader does not permit a gateway a retry."},
     {EventId::kForwardAttemptEnded, "forward-attempt-ended", EventLevel::kDebug,
-     "An attempt brought no answer that is passed on; with what its end says "
-     "of "
-     "the run."},
+     "An attempt brought no answer to pass on; with whether it may have run, "
+     "and why."},
     {EventId::kForwardResumed, "forward-resumed", EventLevel::kInfo,
      "A broken stream goes on at another target."},
     {EventId::kForwardFinished, "forward-finished", EventLevel::kDebug,
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -120,7 +120,8 @@
   void FailWith(unsigned status, const std::string& reason);
   void End();
   void Log(EventId id, const std::string& detail) const;
-  /** @return What the attempts so far say of the run, for log lines. */
+  /** @return How many attempts were made and may have run, for log lines;
+   * begins with a space. */
   std::string RunDetail() const;
   Duration TimeLeft() const;
   bool IsPrompt() const;
