Model of refused requests: two addresses a lane, not two a case

In a trial, three runs of the model at a time, one ended with SIGABRT; the system then had 84,383 connections in TIME_WAIT, and 120,461 beside a soak of 120 gateways. Each case opened two listening ports of its own, some 10,000 a run, which the system keeps for a minute; a connect that finds no port is an empty answer in GatewayRig. The error itself was not recorded, so that this is the likely cause, not a shown one. Change: targets stay, their connections are broken after each case (ScriptedTarget::BreakConnections).

--- a/tests/platform/refused_and_run_model_test.cc
+++ b/tests/platform/refused_and_run_model_test.cc
@@ -201,26 +201,29 @@
   return all.dump();
 }
 
-/** Requests of one lane, each with two targets of its own. Thread safety: one
- * thread. */
+/** Requests of one lane, each with two targets of its own at the same two
+ * addresses; thousands of addresses would use up the system's ports. Thread
+ * safety: one thread. */
 class Lane {
  public:
   Lane(const GatewayRig& rig, int number)
-      : rig_(rig), name_(std::to_string(number)) {}
+      : rig_(rig),
+        name_(std::to_string(number)),
+        first_([this](const TargetRequest& request, TargetLine& line) {
+          Serve(request, line);
+        }),
+        second_([this](const TargetRequest& request, TargetLine& line) {
+          Serve(request, line);
+        }) {}
 
   Outcome Run(const Case& one) {
-    CaseScript script(one);
-    const auto serve = [&script](const TargetRequest& request,
-                                 TargetLine& line) {
-      script.Serve(request, line);
-    };
-    ScriptedTarget first(serve);
-    ScriptedTarget second(serve);
+    const auto script = std::make_shared<CaseScript>(one);
+    SetScript(script);
     const std::string id = name_ + "-" + std::to_string(++count_);
-    Register("a" + id, first);
-    Register("b" + id, second);
+    Register("a" + id, first_);
+    Register("b" + id, second_);
     if (one.way_ == Way::kReused) {
-      for (int i = 0; i < kMostWarmUps && script.Used() < 2; ++i) {
+      for (int i = 0; i < kMostWarmUps && script->Used() < 2; ++i) {
         AskWhole(rig_, RequestOf(kWarmUp + id + "-" + std::to_string(i)));
       }
     }
@@ -228,14 +231,28 @@
     rig_.Control("DELETE", "/v1/instances/a" + id, "");
     rig_.Control("DELETE", "/v1/instances/b" + id, "");
     // Ends the connections that the gateway keeps.
-    first.Crash();
-    second.Crash();
-    Outcome outcome = script.Get();
+    first_.BreakConnections();
+    second_.BreakConnections();
+    Outcome outcome = script->Get();
     outcome.answer_ = answer;
     return outcome;
   }
 
  private:
+  void SetScript(std::shared_ptr<CaseScript> script) {
+    const std::scoped_lock lock(mutex_);
+    script_ = std::move(script);
+  }
+
+  void Serve(const TargetRequest& request, TargetLine& line) {
+    std::shared_ptr<CaseScript> script;
+    {
+      const std::scoped_lock lock(mutex_);
+      script = script_;
+    }
+    script->Serve(request, line);
+  }
+
   void Register(const std::string& id, const ScriptedTarget& target) {
     const std::string answer = rig_.Control(
         "PUT", "/v1/instances/" + id,
@@ -255,7 +272,11 @@
 
   const GatewayRig& rig_;
   std::string name_;
-  int count_ = 0;  ///< Of requests.
+  int count_ = 0;                       ///< Of requests.
+  std::mutex mutex_;                    ///< Guards script_.
+  std::shared_ptr<CaseScript> script_;  ///< Of the present case.
+  ScriptedTarget first_;
+  ScriptedTarget second_;
 };
 
 std::vector<Outcome> RunAll(const std::string& route, bool resumable,
--- a/tests/platform/scripted_target.cc
+++ b/tests/platform/scripted_target.cc
@@ -114,6 +114,10 @@
 void ScriptedTarget::Crash() {
   crashed_ = true;
   ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
+  BreakConnections();
+}
+
+void ScriptedTarget::BreakConnections() {
   const std::scoped_lock lock(mutex_);
   for (const int descriptor : open_) {
     ::shutdown(descriptor, SHUT_RDWR);
--- a/tests/platform/scripted_target.h
+++ b/tests/platform/scripted_target.h
@@ -56,6 +56,9 @@
   /** Breaks all connections and takes no new ones, like a crashed process.
    * Thread safety: any thread. */
   void Crash();
+  /** Breaks all connections and goes on taking new ones. Thread safety: any
+   * thread. */
+  void BreakConnections();
   /** @return "127.0.0.1:PORT". */
   std::string Address() const { return address_; }
   /** @return Requests so far. */
