Scripted targets shut down no descriptor that they have closed

Cause, by reading: a target kept the number of a connection's descriptor in its list until after it was closed; Crash and BreakConnections then shut down whatever socket had that number by then, a registration's for instance. Change: an entry leaves the list before its descriptor is closed. Checks are the same.

--- a/tests/platform/scripted_target.cc
+++ b/tests/platform/scripted_target.cc
@@ -67,13 +67,21 @@
 void TargetLine::Reset() {
   error_code ignored;
   socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-  socket_.close(ignored);
+  CloseSocket();
 }
 
 void TargetLine::Close() {
   error_code ignored;
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
   PeerClosesWithin(std::chrono::seconds(1));
+  CloseSocket();
+}
+
+void TargetLine::CloseSocket() {
+  if (closing_) {
+    closing_();
+  }
+  error_code ignored;
   socket_.close(ignored);
 }
 
@@ -91,10 +99,12 @@
             // A reset drops what waits for the peer's acknowledgement.
             socket.set_option(tcp::no_delay(true), error);
             const std::scoped_lock lock(mutex_);
-            open_.push_back(socket.native_handle());
-            threads_.emplace_back([this, taken = std::move(socket)]() mutable {
-              Serve(std::move(taken));
-            });
+            const uint64_t connection = ++last_connection_;
+            open_[connection] = socket.native_handle();
+            threads_.emplace_back(
+                [this, connection, taken = std::move(socket)]() mutable {
+                  Serve(connection, std::move(taken));
+                });
           }
         }
       }) {}
@@ -121,7 +131,7 @@
 
 void ScriptedTarget::BreakConnections() {
   const std::scoped_lock lock(mutex_);
-  for (const int descriptor : open_) {
+  for (const auto& [connection, descriptor] : open_) {
     ::shutdown(descriptor, SHUT_RDWR);
   }
 }
@@ -131,14 +141,19 @@
   return requests_;
 }
 
-void ScriptedTarget::Serve(tcp::socket socket) {
-  const int descriptor = socket.native_handle();
-  ServeRequests(std::move(socket));
+void ScriptedTarget::Serve(uint64_t connection, tcp::socket socket) {
+  const auto forget = [this, connection]() { Forget(connection); };
+  ServeRequests(socket, forget);
+  forget();
+}
+
+void ScriptedTarget::Forget(uint64_t connection) {
   const std::scoped_lock lock(mutex_);
-  std::erase(open_, descriptor);
+  open_.erase(connection);
 }
 
-void ScriptedTarget::ServeRequests(tcp::socket socket) {
+void ScriptedTarget::ServeRequests(tcp::socket& socket,
+                                   const std::function<void()>& closing) {
   std::string input;
   while (!stopping_ && !crashed_) {
     error_code error;
@@ -165,7 +180,7 @@
       const std::scoped_lock lock(mutex_);
       requests_.push_back(request);
     }
-    TargetLine line(socket);
+    TargetLine line(socket, closing);
     script_(request, line);
     if (!socket.is_open()) {
       return;
--- a/tests/platform/scripted_target.h
+++ b/tests/platform/scripted_target.h
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -26,7 +27,10 @@
 /** A connection at a target. Blocks; used on the thread of its request. */
 class TargetLine {
  public:
-  explicit TargetLine(boost::asio::ip::tcp::socket& socket) : socket_(socket) {}
+  /** @param closing Called before the socket is closed. */
+  explicit TargetLine(boost::asio::ip::tcp::socket& socket,
+                      std::function<void()> closing = nullptr)
+      : socket_(socket), closing_(std::move(closing)) {}
   /** Sends bytes as they are. @return False if the peer has closed. */
   bool Send(const std::string& bytes);
   /** Begins an event stream without a length. @param more Further headers. */
@@ -41,7 +45,10 @@
   void Close();
 
  private:
+  void CloseSocket();
+
   boost::asio::ip::tcp::socket& socket_;  ///< The connection.
+  std::function<void()> closing_;         ///< May be empty.
 };
 
 /** A target whose answers a test writes. Thread safety: the script runs on one
@@ -65,8 +72,10 @@
   std::vector<TargetRequest> Requests();
 
  private:
-  void Serve(boost::asio::ip::tcp::socket socket);
-  void ServeRequests(boost::asio::ip::tcp::socket socket);
+  void Serve(uint64_t connection, boost::asio::ip::tcp::socket socket);
+  void ServeRequests(boost::asio::ip::tcp::socket& socket,
+                     const std::function<void()>& closing);
+  void Forget(uint64_t connection);
 
   Script script_;                            ///< Answers.
   boost::asio::io_context io_;               ///< For blocking calls.
@@ -74,11 +83,14 @@
   std::mutex mutex_;                         ///< Guards the vectors.
   std::vector<TargetRequest> requests_;      ///< Everything that came.
   std::vector<std::thread> threads_;         ///< One for each connection.
-  std::vector<int> open_;                    ///< Descriptors; under mutex_.
-  std::string address_;                      ///< "127.0.0.1:PORT".
-  std::atomic<bool> stopping_ = false;       ///< The test is over.
-  std::atomic<bool> crashed_ = false;        ///< By Crash().
-  std::thread accepting_;                    ///< Runs the acceptor.
+  /** Descriptors by connection; under mutex_. An entry goes before its
+   * descriptor is closed, as another socket may get the same number then. */
+  std::map<uint64_t, int> open_;
+  uint64_t last_connection_ = 0;        ///< Under mutex_.
+  std::string address_;                 ///< "127.0.0.1:PORT".
+  std::atomic<bool> stopping_ = false;  ///< The test is over.
+  std::atomic<bool> crashed_ = false;   ///< By Crash().
+  std::thread accepting_;               ///< Runs the acceptor.
 };
 
 }  // namespace gv
