--- a/src/coordination/gateway/routing_table.h
+++ b/src/coordination/gateway/routing_table.h
@@ -56,6 +56,8 @@
   Result<void> IndexServices();
   Result<void> IndexRoutes();
   Result<void> IndexCustomers();
+  /** Sets Service::ranks_ of all services. */
+  void CollectRanks();
 
   RoutingConfiguration configuration_;
   std::unordered_map<std::string, size_t>
--- a/src/state/routing_type.h
+++ b/src/state/routing_type.h
@@ -74,11 +74,24 @@
   int64_t usual_answer_tokens_ = 0;   ///< Mean of the traffic.
 };
 
+/** How long answers of one rank may pause. */
+struct RankPause {
+  int64_t rank_ = 0;  ///< Rank of the caller; zero is the most urgent.
+  Duration pause_;    ///< Least of the pause objectives of its routes; zero if
+                      ///< none has one.
+  friend bool operator==(const RankPause&, const RankPause&) = default;
+};
+
 /** A service: targets of one kind. */
 struct Service {
   std::string name_;                     ///< Unique.
   int64_t max_connections_ = 0;          ///< To one target, of all callers.
   std::optional<EngineProfile> engine_;  ///< Set for model engines.
+  /** Ranks of the streams that the configuration allows, in rising order; set
+   * by RoutingTable::Build. */
+  std::vector<RankPause> ranks_;
+  /** @return True if callers of different ranks share the service. */
+  bool HasRanks() const { return ranks_.size() > 1; }
 };
 
 /** A customer and its API keys. */
--- a/tests/gateway_routing_test.cc
+++ b/tests/gateway_routing_test.cc
@@ -39,6 +39,37 @@
   CHECK(table.FindCustomer("k3") == nullptr);
 }
 
+/** @return A stream route of "s1". */
+Route MakeStream(const std::string& prefix, int64_t rank, Duration pause) {
+  Route route = MakeRoute(prefix, prefix);
+  route.kind_ = RouteKind::kStream;
+  route.priority_ = rank;
+  route.pause_objective_ = pause;
+  return route;
+}
+
+TEST_CASE("routing table: a service knows the ranks of its streams") {
+  RoutingConfiguration configuration = SampleConfiguration();
+  configuration.routes_ = {
+      MakeStream("/a/", 0, 200_ms), MakeStream("/b/", 1, 800_ms),
+      MakeStream("/c/", 1, 500_ms), MakeStream("/d/", 2, Duration()),
+      MakeRoute("call", "/e/")};
+  const auto ranks = [](const RoutingConfiguration& given) {
+    return RoutingTable::Build(given).value().FindService("s1")->ranks_;
+  };
+  const std::vector<RankPause> of_routes{
+      {0, 200_ms}, {1, 500_ms}, {2, Duration()}};
+  CHECK(ranks(configuration) == of_routes);
+  CHECK_FALSE(
+      RoutingTable::Build(configuration).value().FindService("s2")->HasRanks());
+
+  // The priority of a customer replaces that of its routes.
+  configuration.customers_ = {Customer{"c1", {"k1"}, 1}};
+  CHECK(ranks(configuration) == std::vector<RankPause>{{1, 200_ms}});
+  configuration.customers_.push_back(Customer{"c2", {"k2"}, {}});
+  CHECK(ranks(configuration).size() == 3);
+}
+
 TEST_CASE("routing table: services are chosen in proportion to their weights") {
   Route route = MakeRoute("r", "/a/");
   route.services_ = {{"s1", 90}, {"s2", 10}};
