--- a/src/state/routing_type.h
+++ b/src/state/routing_type.h
@@ -89,7 +89,7 @@
   std::optional<EngineProfile> engine_;  ///< Set for model engines.
   /** Ranks of the streams that the configuration allows, in rising order; set
    * by RoutingTable::Build. */
-  std::vector<RankPause> ranks_;
+  std::vector<RankPause> ranks_{};
   /** @return True if callers of different ranks share the service. */
   bool HasRanks() const { return ranks_.size() > 1; }
 };
