Keep long prompts from interrupting answers of more urgent routes

Cause: prompts with a prefill of up to twice the event interval of a full engine (221 ms on the engines of the transcript deployment) were read whole beside a dozen short answers, whose routes bear pauses of 200 ms. Change: where stream routes of a service have different priorities, the least pause that more urgent ones declare bounds the prefill that is added to a pass; longer prompts count as long ones and are read in shorter parts. All else is placed as before.

--- a/src/coordination/gateway/placement.cc
+++ b/src/coordination/gateway/placement.cc
@@ -4,21 +4,30 @@
 #include <algorithm>
 #include <cmath>
 
+#include "coordination/gateway/decode_protection.h"
 #include "coordination/gateway/engine_model.h"
 #include "coordination/gateway/placement_weights.h"
 
 namespace gv {
 namespace {
 
-/** @return Prefill in milliseconds beyond which a prompt is a long one. */
-double LongPrefillMs(const EngineProfile& engine) {
-  return kLongPromptIntervals * FullIntervalMs(engine);
+/** @return Prefill in milliseconds beyond which @p request is a long one. */
+double LongPrefillMs(const PlacementRequest& request) {
+  return BoundedPrefillMs(request, kLongPromptIntervals);
 }
 
 }  // namespace
 
-double MaxLongPartMs(const EngineProfile& engine) {
-  return kMaxLongPartIntervals * FullIntervalMs(engine);
+double BoundedPrefillMs(const PlacementRequest& request, double intervals) {
+  const Service& service = *request.service_;
+  const double most = intervals * FullIntervalMs(*service.engine_);
+  return std::min(
+      most,
+      LongestPrefillBesideUrgent(service, request.route_rank_).value_or(most));
+}
+
+double MaxLongPartMs(const PlacementRequest& request) {
+  return BoundedPrefillMs(request, kMaxLongPartIntervals);
 }
 
 const std::vector<const DirectoryEntry*>& Placer::ReadyEntries(
@@ -93,7 +102,7 @@
   const EngineProfile& engine = *request.service_->engine_;
   return Duration(static_cast<int64_t>(
       ShortestWorkMs(engine, request.prompt_tokens_, request.answer_tokens_,
-                     MaxLongPartMs(engine), kMaxHelpers)));
+                     MaxLongPartMs(request), kMaxHelpers)));
 }
 
 std::optional<Duration> Placer::UntilUsable(
@@ -253,7 +262,7 @@
                               std::vector<Candidate>& candidates) const {
   const EngineProfile& engine = *request.service_->engine_;
   const bool is_short =
-      PrefillMs(engine, request.prompt_tokens_) <= LongPrefillMs(engine);
+      PrefillMs(engine, request.prompt_tokens_) <= LongPrefillMs(request);
   SortByOrder(candidates);
   const size_t border = ShortZoneSize(now, engine, candidates.size());
   const auto middle = candidates.begin() + static_cast<std::ptrdiff_t>(border);
@@ -342,7 +351,7 @@
 bool Placer::IsLong(const PlacementRequest& request) const {
   return request.service_->engine_ && request.prompt_tokens_ > 0 &&
          PrefillMs(*request.service_->engine_, request.prompt_tokens_) >
-             LongPrefillMs(*request.service_->engine_);
+             LongPrefillMs(request);
 }
 
 Placement Placer::PlaceLong(const PlacementRequest& request,
@@ -381,7 +390,7 @@
   const EngineProfile& engine = *request.service_->engine_;
   const int64_t tokens = request.prompt_tokens_ + request.answer_tokens_;
   const int64_t count = HelperCount(
-      engine, request.prompt_tokens_, MaxLongPartMs(engine),
+      engine, request.prompt_tokens_, MaxLongPartMs(request),
       std::min<int64_t>(kMaxHelpers, static_cast<int64_t>(helpers.size())));
   const double part_ms = PrefillMs(engine, request.prompt_tokens_) /
                          static_cast<double>(count + 1);
--- a/src/coordination/gateway/placement.h
+++ b/src/coordination/gateway/placement.h
@@ -19,10 +19,6 @@
 /** Most helpers that engines accept for one prompt. */
 inline constexpr int64_t kMaxHelpers = 16;
 
-/** @return Longest part of a long prompt in milliseconds, unless it has all
- * the helpers that it may. Thread safety: pure. */
-double MaxLongPartMs(const EngineProfile& engine);
-
 /** Prefill of long prompts that was placed on an engine. */
 struct PendingPrefill {
   TimePoint until_;               ///< Predicted end of all prefill.
@@ -58,13 +54,23 @@
   const Service* service_ = nullptr;  ///< Service that it calls; never null.
   int64_t prompt_tokens_ = 0;         ///< Zero for plain services.
   int64_t answer_tokens_ = 0;         ///< Limit of the answer's length.
-  std::vector<TargetId> tried_;       ///< Targets that failed this request.
-  uint64_t hash_ = 0;                 ///< Varies the choice between requests.
-  std::vector<TargetId> kept_;        ///< Engines with an idle connection.
+  int64_t route_rank_ = 0;  ///< Priority of its route; zero is served first.
+  std::vector<TargetId> tried_;  ///< Targets that failed this request.
+  uint64_t hash_ = 0;            ///< Varies the choice between requests.
+  std::vector<TargetId> kept_;   ///< Engines with an idle connection.
   /** The only target to use: one with a limit, for which there is a permit. */
   std::optional<TargetId> permitted_;
 };
 
+/** @return Longest prefill in milliseconds that @p request may add to a pass
+ * of an engine: @p intervals, or less beside answers of more urgent ranks.
+ * Thread safety: pure. @pre The service has an engine. */
+double BoundedPrefillMs(const PlacementRequest& request, double intervals);
+
+/** @return Longest part of a long prompt in milliseconds, unless it has all
+ * the helpers that it may. Thread safety: pure. */
+double MaxLongPartMs(const PlacementRequest& request);
+
 /** Predicts how long queued short prompts wait for a slot. */
 struct SlotTurnover {
   double slots_freed_per_ms_ = 0;  ///< Slots that all engines free.
--- a/src/coordination/gateway/placement_leader.cc
+++ b/src/coordination/gateway/placement_leader.cc
@@ -379,16 +379,20 @@
     return candidate.penalty_ms_ >= kSuspectedPenaltyMs;
   });
   const auto wanted = static_cast<size_t>(HelperCount(
-      engine, request.prompt_tokens_, MaxLongPartMs(engine), kMaxHelpers));
+      engine, request.prompt_tokens_, MaxLongPartMs(request), kMaxHelpers));
   const size_t helpers = std::min(wanted, free.size());
   idle -= idle > 0 && DecodesAt(owner) == DecodeKind::kNothing ? 1 : 0;
   const size_t least_helpers =
       (idle + kFreeReaderDivisor - 1) / kFreeReaderDivisor;
   const double part_ms = PrefillMs(engine, request.prompt_tokens_) /
                          static_cast<double>(helpers + 1);
-  if (helpers < std::min(wanted, least_helpers) ||
-      part_ms > kMaxPartIntervals[static_cast<size_t>(decoding)] *
-                    FullIntervalMs(engine)) {
+  const double longest_intervals =
+      kMaxPartIntervals[static_cast<size_t>(decoding)];
+  // Only answers of short prompts are taken as urgent ones.
+  const double longest_ms = decoding == DecodeKind::kShortAnswers
+                                ? BoundedPrefillMs(request, longest_intervals)
+                                : longest_intervals * FullIntervalMs(engine);
+  if (helpers < std::min(wanted, least_helpers) || part_ms > longest_ms) {
     return std::nullopt;
   }
   std::sort(free.begin(), free.end(),
--- a/src/coordination/gateway/prompt_scheduler.cc
+++ b/src/coordination/gateway/prompt_scheduler.cc
@@ -53,6 +53,7 @@
   request.service_ = &queued.service_;
   request.prompt_tokens_ = queued.ask_.prompt_tokens_;
   request.answer_tokens_ = queued.ask_.answer_tokens_;
+  request.route_rank_ = queued.ask_.route_rank_;
   request.tried_ = queued.ask_.tried_;
   return request;
 }
--- a/src/coordination/gateway/routing_table.cc
+++ b/src/coordination/gateway/routing_table.cc
@@ -5,7 +5,6 @@
 #include <boost/outcome/try.hpp>
 #include <cctype>
 #include <map>
-#include <set>
 
 namespace gv {
 namespace {
@@ -105,34 +104,18 @@
 }
 
 void RoutingTable::CollectRanks() {
-  // The priority of a customer goes before that of the route.
-  std::set<int64_t> customer_ranks;
-  bool has_customer_without_rank = configuration_.customers_.empty();
-  for (const Customer& customer : configuration_.customers_) {
-    if (customer.priority_) {
-      customer_ranks.insert(*customer.priority_);
-    } else {
-      has_customer_without_rank = true;
-    }
-  }
   std::vector<std::map<int64_t, Duration>> pauses(
       configuration_.services_.size());
   for (const Route& route : configuration_.routes_) {
     if (route.kind_ != RouteKind::kStream) {
       continue;
     }
-    std::set<int64_t> ranks = customer_ranks;
-    if (has_customer_without_rank || route.anonymous_) {
-      ranks.insert(route.priority_);
-    }
     for (const ServiceWeight& share : route.services_) {
-      for (const int64_t rank : ranks) {
-        Duration& pause = pauses[services_.at(share.service_)][rank];
-        const bool is_shorter =
-            pause <= Duration() || route.pause_objective_ < pause;
-        if (route.pause_objective_ > Duration() && is_shorter) {
-          pause = route.pause_objective_;
-        }
+      Duration& pause = pauses[services_.at(share.service_)][route.priority_];
+      const bool is_shorter =
+          pause <= Duration() || route.pause_objective_ < pause;
+      if (route.pause_objective_ > Duration() && is_shorter) {
+        pause = route.pause_objective_;
       }
     }
   }
--- a/src/protocol/registry_messages.h
+++ b/src/protocol/registry_messages.h
@@ -153,6 +153,8 @@
   Duration time_left_;  ///< Until its answer has to end; zero from a gateway of
                         ///< the previous version.
   int64_t rank_ = 0;    ///< Priority of its caller; zero is served first.
+  int64_t route_rank_ = 0;  ///< Priority of its route; zero from a gateway of
+                            ///< the previous version.
 };
 
 /** Memory to be reserved at one engine. */
--- a/src/state/routing_type.h
+++ b/src/state/routing_type.h
@@ -74,9 +74,9 @@
   int64_t usual_answer_tokens_ = 0;   ///< Mean of the traffic.
 };
 
-/** How long answers of one rank may pause. */
+/** How long answers of routes with one priority may pause. */
 struct RankPause {
-  int64_t rank_ = 0;  ///< Rank of the caller; zero is the most urgent.
+  int64_t rank_ = 0;  ///< Priority of the routes; zero is the most urgent.
   Duration pause_;    ///< Least of the pause objectives of its routes; zero if
                       ///< none has one.
   friend bool operator==(const RankPause&, const RankPause&) = default;
@@ -87,10 +87,10 @@
   std::string name_;                     ///< Unique.
   int64_t max_connections_ = 0;          ///< To one target, of all callers.
   std::optional<EngineProfile> engine_;  ///< Set for model engines.
-  /** Ranks of the streams that the configuration allows, in rising order; set
-   * by RoutingTable::Build. */
+  /** Priorities of its stream routes, in rising order; set by
+   * RoutingTable::Build. */
   std::vector<RankPause> ranks_{};
-  /** @return True if callers of different ranks share the service. */
+  /** @return True if stream routes of different priorities share it. */
   bool HasRanks() const { return ranks_.size() > 1; }
 };
 
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -55,6 +55,7 @@
   to_place.service_ = &service_;
   to_place.prompt_tokens_ = IsPrompt() ? facts_.prompt_tokens_ : 0;
   to_place.answer_tokens_ = facts_.answer_tokens_;
+  to_place.route_rank_ = route_.priority_;
   to_place.tried_ = tried_;
   to_place.hash_ = std::hash<std::string>()(facts_.attempt_);
   return to_place;
--- a/src/transport/gateway/forward_prompt.cc
+++ b/src/transport/gateway/forward_prompt.cc
@@ -70,6 +70,7 @@
   request.latest_ = sent_ > 0 ? time.left_ : time.ForFirstEvent();
   request.order_ = request.latest_;
   request.rank_ = priority_;
+  request.route_rank_ = route_.priority_;
   return request;
 }
 
@@ -105,6 +106,7 @@
   PlacementRequest placed_request;
   placed_request.service_ = &service_;
   placed_request.prompt_tokens_ = facts_.prompt_tokens_;
+  placed_request.route_rank_ = route_.priority_;
   placement.work_.is_short_ = !gateway_.GetPlacer().IsLong(placed_request);
   placement.permitted_ = placed->permitted_;
   placement.permitted_until_ = gateway_.Now() + kLimitPermitLifetime;
