--- a/src/coordination/gateway/placement.cc
+++ b/src/coordination/gateway/placement.cc
@@ -28,8 +28,7 @@
     ready.changes_ = directory_.ChangeCount();
     ready.entries_.clear();
     for (const auto& [id, entry] : directory_.All()) {
-      if (entry.target_.service_ == service &&
-          entry.target_.state_ == RegistrationState::kReady) {
+      if (entry.target_.service_ == service && directory_.MayBeUsed(entry)) {
         ready.entries_.push_back(&entry);
       }
     }
--- a/src/coordination/gateway/registry_core.cc
+++ b/src/coordination/gateway/registry_core.cc
@@ -41,6 +41,10 @@
           OnStatus(now, from, body, out);
         } else if constexpr (std::is_same_v<T, ConfigurationPush>) {
           OnPush(body, out);
+        } else if constexpr (std::is_same_v<T, EvacuationPush>) {
+          OnEvacuationPush(body, out);
+        } else if constexpr (std::is_same_v<T, EvacuationForward>) {
+          OnEvacuationForward(now, in.from_, body, out);
         } else if constexpr (std::is_same_v<T, TargetGossip>) {
           OnGossip(now, from, body, out);
         } else if constexpr (std::is_same_v<T, TargetsHeard>) {
@@ -136,10 +140,7 @@
   if (auto snapshot = replica_->TakeInstalledSnapshot()) {
     // A snapshot does not tell when permits of retries were given out.
     retries_known_at_ = now + RetryReserve(settings_.retries_).Span();
-    const Result<void> decoded = committed_.PutEncoded(*snapshot);
-    if (!decoded.has_value()) {
-      Record(EventId::kBadInput, decoded.error().detail_, out);
-    }
+    InstallSnapshot(*snapshot, out);
   }
   const std::vector<LogEntry> entries = replica_->TakeCommitted();
   for (const LogEntry& entry : entries) {
@@ -148,8 +149,13 @@
     const auto retries = entry.kind_ == EntryKind::kCommand
                              ? DecodeRetryEntry(entry.payload_)
                              : std::nullopt;
+    const auto evacuation = entry.kind_ == EntryKind::kCommand
+                                ? DecodeEvacuationEntry(entry.payload_)
+                                : std::nullopt;
     if (retries) {
       OnRetryEntry(now, entry, retries->service_, retries->permits_, out);
+    } else if (evacuation) {
+      OnEvacuationEntry(entry, *evacuation, out);
     } else if (entry.kind_ == EntryKind::kCommand) {
       const Result<void> decoded = committed_.PutEncoded(entry.payload_);
       if (!decoded.has_value()) {
@@ -180,6 +186,21 @@
   SaveSnapshotIfNeeded(now, out);
 }
 
+void RegistryCore::InstallSnapshot(std::string_view snapshot, Outbox& out) {
+  const auto evacuations = EvacuationSet::TakeSnapshotHead(snapshot);
+  if (!evacuations) {
+    Record(EventId::kBadInput, "snapshot: the list of evacuations is malformed",
+           out);
+    return;
+  }
+  committed_evacuations_.Replace(*evacuations);
+  ServeEvacuations(committed_evacuations_, out);
+  const Result<void> decoded = committed_.PutEncoded(snapshot);
+  if (!decoded.has_value()) {
+    Record(EventId::kBadInput, decoded.error().detail_, out);
+  }
+}
+
 void RegistryCore::RejectSkippedProposals(Outbox& out) {
   // Entries at or below the commit index that were not applied one by one came
   // with a snapshot; whether they were committed is not known here.
@@ -199,7 +220,9 @@
   log_bytes_ = 0;
   replica_->SaveSnapshot(
       now, last_applied_,
-      ConfigurationStore::Encode(committed_.Version(), committed_.Text()), out);
+      committed_evacuations_.EncodeSnapshotHead() +
+          ConfigurationStore::Encode(committed_.Version(), committed_.Text()),
+      out);
 }
 
 OperationId RegistryCore::SubmitChange(TimePoint now, uint64_t version,
@@ -234,6 +257,10 @@
   operation.sent_ = true;
   if (operation.is_read_) {
     out.Send(ControlEndpoint(leader_), ReadForward{id});
+  } else if (operation.evacuation_) {
+    out.Send(ControlEndpoint(leader_),
+             EvacuationForward{id, operation.evacuation_->data_centre_,
+                               operation.evacuation_->withdrawn_});
   } else {
     out.Send(ControlEndpoint(leader_),
              ChangeForward{id, operation.version_, operation.text_});
--- a/src/coordination/gateway/registry_core.h
+++ b/src/coordination/gateway/registry_core.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "coordination/gateway/configuration_store.h"
+#include "coordination/gateway/evacuation_set.h"
 #include "coordination/gateway/lease_wait.h"
 #include "coordination/gateway/part_quarantine.h"
 #include "coordination/gateway/registry_type.h"
@@ -47,6 +48,11 @@
    * TakeCompletedOperations(). */
   OperationId SubmitChange(TimePoint now, uint64_t version, std::string text,
                            Outbox& out);
+  /** Sends an order about a data centre to the leader. Its result is returned
+   * by TakeCompletedOperations(): kAccepted once it cannot be lost. A repeated
+   * order is accepted again. */
+  OperationId SubmitEvacuation(TimePoint now, EvacuationOrder order,
+                               Outbox& out);
   /** Asks the leader for the newest version. Its result is returned by
    * TakeCompletedOperations(). */
   OperationId ConfirmVersion(TimePoint now, Outbox& out);
@@ -110,6 +116,9 @@
   /** @return The configuration to serve. Never reverts while the process
    * runs; empty until a leader has confirmed it. */
   const ConfigurationStore& ServedConfiguration() const { return served_; }
+  /** @return The evacuated data centres. While HasLease(), no newer set can
+   * have been acknowledged for longer than the revocation bound. */
+  const EvacuationSet& Evacuations() const { return evacuations_; }
   const TargetDirectory& Targets() const { return targets_; }
   /** @return The limit of retries at each service. */
   const RetryBounds& RetryBudget() const { return settings_.retries_; }
@@ -138,6 +147,8 @@
     uint64_t version_ = 0;  ///< Version of the change; unused for reads.
     std::string text_;      ///< Text of the change; unused for reads.
     bool sent_ = false;     ///< Sent to a leader that has not rejected it.
+    std::optional<EvacuationOrder> evacuation_ =
+        std::nullopt;  ///< Set for an order about a data centre.
   };
   /** A target that leaves, until enough members know. */
   struct PendingLeaving {
@@ -148,10 +159,11 @@
   };
   /** A change that the leader has proposed and that is not committed yet. */
   struct PendingProposal {
-    LogIndex index_;         ///< Index of the log entry.
-    Term term_;              ///< Term of the log entry.
-    Endpoint origin_;        ///< Sender of the request, to be answered.
-    OperationId operation_;  ///< Id of the request, copied to the answer.
+    LogIndex index_;            ///< Index of the log entry.
+    Term term_;                 ///< Term of the log entry.
+    Endpoint origin_;           ///< Sender of the request, to be answered.
+    OperationId operation_;     ///< Id of the request, copied to the answer.
+    DataCentreId evacuates_{};  ///< Data centre of an order; or none.
   };
 
   /** A gateway that asked for a permit. */
@@ -175,6 +187,8 @@
   bool IsActiveLeader(TimePoint now) const;
   void StepReplica(TimePoint now, const Envelope& in, Outbox& out);
   void ApplyCommitted(TimePoint now, Outbox& out);
+  /** Takes the state of a snapshot of the leader or of the disk. */
+  void InstallSnapshot(std::string_view snapshot, Outbox& out);
   void RejectSkippedProposals(Outbox& out);
   void SaveSnapshotIfNeeded(TimePoint now, Outbox& out);
   void OnChange(TimePoint now, const Endpoint& from,
@@ -199,8 +213,10 @@
               Outbox& out);
   void OnStatus(TimePoint now, const NodeId& from, const RegistryStatus& status,
                 Outbox& out);
+  /** Extends the lease if the state in force here is as new as the leader's.
+   * @param evacuations Revision of the leader's evacuations. */
   void ExtendLease(TimePoint now, TimePoint sent, uint64_t version,
-                   Outbox& out);
+                   uint64_t evacuations, Outbox& out);
   void OnPush(const ConfigurationPush& push, Outbox& out);
   void Serve(uint64_t version, const std::string& text, Outbox& out);
   void PushToPollers(Outbox& out);
@@ -230,6 +246,16 @@
   void AnswerRetry(const std::string& service, const RetryAsker& asker,
                    bool granted, const std::string& detail, Outbox& out) const;
 
+  // registry_evacuations.cc: orders to evacuate a data centre.
+  void OnEvacuationForward(TimePoint now, const Endpoint& from,
+                           const EvacuationForward& forward, Outbox& out);
+  void OnEvacuationEntry(const LogEntry& entry, const EvacuationOrder& order,
+                         Outbox& out);
+  void OnEvacuationPush(const EvacuationPush& push, Outbox& out);
+  /** Makes @p newest the set in force here, if it is newer. */
+  void ServeEvacuations(const EvacuationSet& newest, Outbox& out);
+  EvacuationPush MakeEvacuationPush() const;
+
   // registry_parts.cc: parts of prompts that crash engines.
   std::vector<Endpoint> OtherEndpoints() const;
   void TickParts(TimePoint now, Outbox& out);
@@ -291,8 +317,10 @@
   std::optional<ReplicaCore> replica_;  ///< Empty without a working disk.
   ConfigurationStore committed_;  ///< State of the log up to last_applied_.
   ConfigurationStore served_;     ///< Configuration served here.
-  LogIndex last_applied_;         ///< Last entry applied to committed_.
-  size_t log_bytes_ = 0;          ///< Bytes of entries since the last snapshot.
+  EvacuationSet committed_evacuations_;  ///< As committed_.
+  EvacuationSet evacuations_;            ///< In force here.
+  LogIndex last_applied_;                ///< Last entry applied to committed_.
+  size_t log_bytes_ = 0;  ///< Bytes of entries since the last snapshot.
   std::vector<PendingProposal> pending_proposals_;  ///< Made here as leader.
   /** Operations started at this gateway. */
   std::map<OperationId, PendingOperation> pending_operations_;
--- a/src/coordination/gateway/registry_members.cc
+++ b/src/coordination/gateway/registry_members.cc
@@ -97,7 +97,8 @@
   RefreshNodes(now);
   if (IsActiveLeader(now)) {
     last_leader_grant_ = now;
-    ExtendLease(now, now, committed_.Version(), out);
+    ExtendLease(now, now, committed_.Version(),
+                committed_evacuations_.Revision(), out);
   }
   ++poll_number_;
   open_polls_[poll_number_] = now;
@@ -111,6 +112,7 @@
   poll.nodes_digest_ = nodes_digest_;
   poll.targets_digest_ = targets_.Digest();
   poll.has_disk_ = replica_.has_value() && !is_stopping_;
+  poll.evacuations_revision_ = evacuations_.Revision();
   for (const NodeId& node : PollRecipients(now)) {
     out.Send(ControlEndpoint(node), poll);
   }
@@ -151,10 +153,14 @@
   status.targets_digest_ = targets_.Digest();
   status.members_ = MemberIds();
   status.parts_digest_ = parts_.Digest();
+  status.evacuations_revision_ = committed_evacuations_.Revision();
   if (status.grant_ && poll.nodes_digest_ != nodes_digest_) {
     status.nodes_.assign(nodes_.begin(), nodes_.end());
   }
   out.Send(ControlEndpoint(from), std::move(status));
+  if (poll.evacuations_revision_ < committed_evacuations_.Revision()) {
+    out.Send(ControlEndpoint(from), MakeEvacuationPush());
+  }
   const bool behind = poll.version_ < committed_.Version();
   if (behind && (was_behind || IsActiveLeader(now))) {
     out.Send(ControlEndpoint(from),
@@ -189,7 +195,8 @@
     }
     leader_ = from;
     last_leader_grant_ = now;
-    ExtendLease(now, sent->second, status.version_, out);
+    ExtendLease(now, sent->second, status.version_,
+                status.evacuations_revision_, out);
     if (!status.nodes_.empty() && !(replica_ && IsMember(settings_.self_))) {
       nodes_ = {status.nodes_.begin(), status.nodes_.end()};
       nodes_.insert(settings_.self_);
@@ -201,8 +208,8 @@
 }
 
 void RegistryCore::ExtendLease(TimePoint now, TimePoint sent, uint64_t version,
-                               Outbox& out) {
-  if (served_.Version() < version) {
+                               uint64_t evacuations, Outbox& out) {
+  if (served_.Version() < version || evacuations_.Revision() < evacuations) {
     return;
   }
   const bool had_lease = HasLease(now);
--- a/src/coordination/gateway/routing_table.cc
+++ b/src/coordination/gateway/routing_table.cc
@@ -64,6 +64,8 @@
     if (!services_.emplace(name, i).second) {
       return InvalidConfiguration("service \"" + name + "\" is given twice");
     }
+    has_cold_targets_ =
+        has_cold_targets_ || configuration_.services_[i].cold_per_second_ > 0;
   }
   return boost::outcome_v2::success();
 }
--- a/src/coordination/gateway/routing_table.h
+++ b/src/coordination/gateway/routing_table.h
@@ -39,6 +39,8 @@
   const Customer* FindCustomer(const std::string& key) const;
   /** @return The service with this name, or nullptr. */
   const Service* FindService(const std::string& name) const;
+  /** @return True if targets of a service can be cold. */
+  bool HasColdTargets() const { return has_cold_targets_; }
   /** @return True if requests need the key of a customer, as customers are
    * configured. */
   bool NeedsKeys() const { return !configuration_.customers_.empty(); }
@@ -60,6 +62,7 @@
   void CollectRanks();
 
   RoutingConfiguration configuration_;
+  bool has_cold_targets_ = false;
   std::unordered_map<std::string, size_t>
       routes_;  ///< Indices by host and prefix.
   std::unordered_map<std::string, size_t> services_;   ///< Indices by name.
--- a/src/coordination/gateway/target_directory.cc
+++ b/src/coordination/gateway/target_directory.cc
@@ -11,6 +11,9 @@
 /** Oldest age at which a registration adds a row: gateways that have held the
  * row for longer are about to remove it. */
 constexpr Duration kMaxNewRowAge = 8_s;
+/** The end of a warm-up that moves by less is the same one, as heartbeats are
+ * delayed. */
+constexpr Duration kWarmUpJitter = 1_s;
 
 }  // namespace
 
@@ -80,10 +83,13 @@
   if (!IsNewer(target, entry.target_)) {
     return Change::kNone;
   }
+  const bool becomes_cold = target.warm_up_ > Duration() &&
+                            updated.warm_at_ > entry.warm_at_ + kWarmUpJitter;
   const bool unchanged = entry.target_.state_ == target.state_ &&
                          entry.target_.start_ms_ == target.start_ms_ &&
                          entry.target_.address_ == target.address_ &&
-                         entry.target_.service_ == target.service_;
+                         entry.target_.service_ == target.service_ &&
+                         !becomes_cold;
   ToggleDigest(entry);
   if (entry.target_.address_ != target.address_) {
     ReleaseAddress(entry);
@@ -136,7 +142,14 @@
 
 bool TargetDirectory::IsReady(const TargetId& id) const {
   const DirectoryEntry* entry = Find(id);
-  return entry != nullptr && entry->target_.state_ == RegistrationState::kReady;
+  return entry != nullptr && MayBeUsed(*entry);
+}
+
+void TargetDirectory::SetEvacuated(std::set<DataCentreId> data_centres) {
+  if (evacuated_ != data_centres) {
+    evacuated_ = std::move(data_centres);
+    ++changes_;
+  }
 }
 
 const TargetRegistration* TargetDirectory::Depart(TimePoint now,
--- a/src/coordination/gateway/target_directory.h
+++ b/src/coordination/gateway/target_directory.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -84,6 +85,13 @@
   bool IsUnreachable(const TargetId& id) const;
   /** @return True if the target is known and accepts new requests. */
   bool IsReady(const TargetId& id) const;
+  /** @return True if a target is ready and its data centre is not evacuated. */
+  bool MayBeUsed(const DirectoryEntry& entry) const {
+    return entry.target_.state_ == RegistrationState::kReady &&
+           !evacuated_.contains(entry.target_.data_centre_);
+  }
+  /** Sets the data centres whose targets may not be used. */
+  void SetEvacuated(std::set<DataCentreId> data_centres);
   /** @return All rows by target id, departed targets included. */
   const std::map<TargetId, DirectoryEntry>& All() const { return entries_; }
   /** @return A counter that grows when a row is added, replaced or removed, or
@@ -132,6 +140,7 @@
   TimePoint newest_heartbeat_;              ///< Last heartbeat of any target.
   std::array<uint64_t, kParts> digests_{};  ///< Digest of each part.
   uint64_t changes_ = 0;
+  std::set<DataCentreId> evacuated_;  ///< Not part of the digests.
 };
 
 }  // namespace gv
--- a/src/coordination/gateway/target_limits.cc
+++ b/src/coordination/gateway/target_limits.cc
@@ -20,6 +20,10 @@
 /** An unchanged limit is reported again, in case a message was lost or the
  * leader is new. */
 constexpr Duration kReportPeriod = 1_s;
+/** After a target is warm it gets this multiple of its cold rate for a while.
+ */
+constexpr double kColdRampFactor = 2;
+constexpr Duration kColdRamp = 1_s;
 /** Latest return of a caller that was refused. */
 constexpr Duration kMaxReturn = 10_s;
 
@@ -40,11 +44,20 @@
                                                               : &found->second;
 }
 
-bool TargetLimits::SetLimit(TimePoint now, State& state,
+bool TargetLimits::SetNamed(TimePoint now, State& state,
                             std::optional<double> per_second) {
   if (per_second) {
     per_second = std::clamp(*per_second, kLeastPerSecond, kMostPerSecond);
   }
+  state.named_ = per_second;
+  return SetLimit(now, state);
+}
+
+bool TargetLimits::SetLimit(TimePoint now, State& state) {
+  std::optional<double> per_second = state.named_;
+  if (state.cold_) {
+    per_second = std::min(per_second.value_or(*state.cold_), *state.cold_);
+  }
   if (state.per_second_ == per_second) {
     return false;
   }
@@ -60,11 +73,43 @@
   return true;
 }
 
+void TargetLimits::SetCold(TimePoint now, const TargetId& target,
+                           double per_second, TimePoint until) {
+  if (until <= now) {
+    return;
+  }
+  State& state = states_[target];
+  cold_count_ += state.cold_ ? 0 : 1;
+  state.cold_ = std::clamp(per_second, kLeastPerSecond, kMostPerSecond);
+  state.cold_until_ = until;
+  state.is_warming_ = false;
+  SetLimit(now, state);
+}
+
+void TargetLimits::EndCold(TimePoint now) {
+  if (cold_count_ == 0) {
+    return;
+  }
+  for (auto& [target, state] : states_) {
+    if (!state.cold_ || now < state.cold_until_) {
+      continue;
+    }
+    if (now >= state.cold_until_ + kColdRamp) {
+      state.cold_.reset();
+      --cold_count_;
+    } else if (!state.is_warming_) {
+      state.cold_ = *state.cold_ * kColdRampFactor;
+    }
+    state.is_warming_ = state.cold_.has_value();
+    SetLimit(now, state);
+  }
+}
+
 bool TargetLimits::OnNamed(TimePoint now, const TargetId& target,
                            double per_second) {
   State& state = states_[target];
   state.heard_at_ = now;
-  return SetLimit(now, state, per_second);
+  return SetNamed(now, state, per_second);
 }
 
 bool TargetLimits::OnNotNamed(TimePoint now, const TargetId& target,
@@ -74,7 +119,7 @@
     return false;
   }
   found->second.over_at_ = std::max(found->second.over_at_, sent);
-  return SetLimit(now, found->second, std::nullopt);
+  return SetNamed(now, found->second, std::nullopt);
 }
 
 bool TargetLimits::Merge(TimePoint now, const TargetLimitRow& row) {
@@ -86,14 +131,14 @@
       return false;
     }
     found->second.over_at_ = std::max(found->second.over_at_, at);
-    return SetLimit(now, found->second, std::nullopt);
+    return SetNamed(now, found->second, std::nullopt);
   }
   State& state = states_[row.target_];
   if (at <= state.heard_at_ || at <= state.over_at_) {
     return false;
   }
   state.heard_at_ = at;
-  return SetLimit(now, state, row.per_second_);
+  return SetNamed(now, state, row.per_second_);
 }
 
 bool TargetLimits::IsLimited(const TargetId& target) const {
@@ -107,8 +152,8 @@
     return std::nullopt;
   }
   const State& state = found->second;
-  const bool is_over = !state.per_second_;
-  return TargetLimitRow{target, state.per_second_.value_or(0), is_over,
+  const bool is_over = !state.named_;
+  return TargetLimitRow{target, state.named_.value_or(0), is_over,
                         now - (is_over ? state.over_at_ : state.heard_at_)};
 }
 
--- a/src/coordination/gateway/target_limits.h
+++ b/src/coordination/gateway/target_limits.h
@@ -47,6 +47,18 @@
   /** Takes in what another gateway knows. @return True if this changes the
    * limit of the target. */
   bool Merge(TimePoint now, const TargetLimitRow& row);
+  /**
+   * A target is cold: it bears few requests until it is warm. It then counts as
+   * one that names a limit, or as one that names a lower one. After that time
+   * it gets twice the rate for a second, so that what waits for it does not
+   * arrive all at once.
+   * @param per_second Requests per second of all gateways together; above 0.
+   * @param until When the target is warm.
+   */
+  void SetCold(TimePoint now, const TargetId& target, double per_second,
+               TimePoint until);
+  /** Ends the limits of targets that are warm by now. */
+  void EndCold(TimePoint now);
   /** @return True if requests to @p target need a permit. */
   bool IsLimited(const TargetId& target) const;
   /** @return True if no target has a limit. */
@@ -68,6 +80,7 @@
       const bool drop =
           is_old && (!item.second.per_second_ || !is_known(item.first));
       limited_ -= drop && item.second.per_second_ ? 1 : 0;
+      cold_count_ -= drop && item.second.cold_ ? 1 : 0;
       return drop;
     });
   }
@@ -105,7 +118,11 @@
   static constexpr Duration kRetention{600000};
 
   struct State {
-    std::optional<double> per_second_;  ///< Empty if the limit is over.
+    std::optional<double> named_;  ///< By answers; empty if it is over.
+    std::optional<double> cold_;   ///< While the target is cold.
+    TimePoint cold_until_;         ///< When it is warm.
+    bool is_warming_ = false;      ///< cold_until_ is over, cold_ was raised.
+    std::optional<double> per_second_;  ///< The lower one of both.
     TimePoint heard_at_;     ///< Receipt of the last answer that named it.
     TimePoint over_at_;      ///< Sending of the last request whose answer did
                              ///< not name it.
@@ -116,12 +133,14 @@
     TimePoint next_return_;  ///< Return of the last refused caller.
   };
 
-  bool SetLimit(TimePoint now, State& state, std::optional<double> per_second);
+  bool SetNamed(TimePoint now, State& state, std::optional<double> per_second);
+  bool SetLimit(TimePoint now, State& state);
   double TokensAt(TimePoint now, const State& state) const;
   const State* FindLimited(const TargetId& target) const;
 
   std::unordered_map<TargetId, State> states_;
   size_t limited_ = 0;     ///< States with a limit.
+  size_t cold_count_ = 0;  ///< States of cold targets.
   bool granting_ = false;  ///< This gateway gives out permits.
 };
 
--- a/src/protocol/message.cc
+++ b/src/protocol/message.cc
@@ -106,5 +106,7 @@
 template Message::Message(LimitReply);
 template Message::Message(LeavingNotice);
 template Message::Message(LeavingNoted);
+template Message::Message(EvacuationPush);
+template Message::Message(EvacuationForward);
 
 }  // namespace gv
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -54,7 +54,8 @@
     ReadOutcome, GatewayLoad, PromptAsk, PromptPlaced, PromptRefused,
     PromptStep, PromptQueued, TargetsHeard, TargetsSilent, TargetQuery,
     RetryAsk, RetryReply, EngineCrash, PartsAnswered, PartTable, LimitReport,
-    LimitAsk, LimitReply, LeavingNotice, LeavingNoted>;
+    LimitAsk, LimitReply, LeavingNotice, LeavingNoted, EvacuationPush,
+    EvacuationForward>;
 
 /** True for the types that are alternatives of Variant. */
 template <class T, class Variant>
--- a/src/protocol/registry_messages.h
+++ b/src/protocol/registry_messages.h
@@ -19,6 +19,7 @@
   uint64_t targets_digest_ = 0;  ///< Of the targets that the sender knows.
   bool has_disk_ = false;        ///< The sender can be a member, and is not
                                  ///< about to stop.
+  uint64_t evacuations_revision_ = 0;  ///< Evacuations that the sender obeys.
 };
 
 /** Answers a RegistryPoll. */
@@ -32,6 +33,22 @@
   std::vector<NodeId> members_;  ///< Members of the registry; may be empty.
   std::vector<NodeId> nodes_;    ///< All gateways; empty if the digests agree.
   uint64_t parts_digest_ = 0;    ///< Of the parts that the sender quarantines.
+  uint64_t evacuations_revision_ = 0;  ///< Newest evacuations known to the
+                                       ///< sender.
+};
+
+/** The evacuated data centres, from a member to a gateway with older ones. */
+struct EvacuationPush {
+  uint64_t revision_ = 0;     ///< Index of the log entry of the last change.
+  std::string data_centres_;  ///< All of them, separated by commas.
+};
+
+/** An operator's order about a data centre, on its way to the leader, which
+ * answers with ChangeOutcome. */
+struct EvacuationForward {
+  OperationId operation_;     ///< Matches ChangeOutcome.
+  DataCentreId data_centre_;  ///< Which data centre.
+  bool withdrawn_ = false;    ///< The evacuation ends.
 };
 
 /** A whole configuration, from a member to a gateway that has an older one. */
--- a/src/state/process_settings.h
+++ b/src/state/process_settings.h
@@ -61,15 +61,16 @@
   std::string listen_readiness_;  ///< "IP:port" for the balancer.
   std::string listen_control_;    ///< "IP:port" for targets and operators.
   std::string listen_metrics_;    ///< "IP:port" for monitoring; may be empty.
-  std::vector<std::string> gateway_seeds_;  ///< "IP:port" of gateways.
-  int64_t gateway_tolerated_losses_ = 0;    ///< Members that may be lost.
-  int64_t gateway_revocation_ms_ = 0;       ///< Longest use of a revoked key.
-  int64_t gateway_grace_ms_ = 0;            ///< Longest planned stop.
-  double gateway_retry_ratio_ = 0;          ///< Repeats for each request.
-  int64_t gateway_retry_window_ms_ = 0;     ///< In which repeats are counted.
-  double gateway_retry_slack_ = 0;          ///< Repeats beside the ratio.
-  int64_t gateway_answer_bytes_ = 0;        ///< Largest whole answer.
-  int64_t gateway_event_bytes_ = 0;         ///< Largest event of a stream.
+  std::vector<std::string> gateway_seeds_;         ///< "IP:port" of gateways.
+  std::vector<std::string> gateway_data_centres_;  ///< With targets.
+  int64_t gateway_tolerated_losses_ = 0;  ///< Members that may be lost.
+  int64_t gateway_revocation_ms_ = 0;     ///< Longest use of a revoked key.
+  int64_t gateway_grace_ms_ = 0;          ///< Longest planned stop.
+  double gateway_retry_ratio_ = 0;        ///< Repeats for each request.
+  int64_t gateway_retry_window_ms_ = 0;   ///< In which repeats are counted.
+  double gateway_retry_slack_ = 0;        ///< Repeats beside the ratio.
+  int64_t gateway_answer_bytes_ = 0;      ///< Largest whole answer.
+  int64_t gateway_event_bytes_ = 0;       ///< Largest event of a stream.
   int64_t gateway_memory_mb_ = 0;  ///< Memory of the process; 0: the machine's.
   int64_t stop_announce_ms_ = 0;   ///< Not ready for so long before a stop.
   int64_t stop_grace_ms_ = 0;      ///< Longest planned stop.
--- a/src/state/routing_type.h
+++ b/src/state/routing_type.h
@@ -87,6 +87,9 @@
   std::string name_;                     ///< Unique.
   int64_t max_connections_ = 0;          ///< To one target, of all callers.
   std::optional<EngineProfile> engine_;  ///< Set for model engines.
+  /** Requests per second that a cold target bears; zero if none is ever cold.
+   */
+  double cold_per_second_ = 0;
   /** Ranks of the streams that the configuration allows, in rising order; set
    * by RoutingTable::Build. */
   std::vector<RankPause> ranks_{};
--- a/src/state/table/events.h
+++ b/src/state/table/events.h
@@ -19,7 +19,7 @@
   std::string_view meaning_;  ///< For people.
 };
 
-inline constexpr std::array<EventRow, 78> kEvents{{
+inline constexpr std::array<EventRow, 82> kEvents{{
     {EventId::kProcessStarted, "process-started", EventLevel::kInfo,
      "A process started with its roles."},
     {EventId::kProcessStopping, "process-stopping", EventLevel::kInfo,
@@ -117,6 +117,14 @@
     {EventId::kMemoryExceeded, "memory-exceeded", EventLevel::kWarning,
      "Requests and connections hold more than they may; the one that holds "
      "most is ended."},
+    {EventId::kEvacuationAccepted, "evacuation-accepted", EventLevel::kInfo,
+     "A data centre is to be evacuated, by an order that cannot be lost."},
+    {EventId::kEvacuationEnded, "evacuation-ended", EventLevel::kInfo,
+     "An order to evacuate a data centre was withdrawn."},
+    {EventId::kEvacuationsInForce, "evacuations-in-force", EventLevel::kInfo,
+     "A gateway sends nothing more to the targets of these data centres."},
+    {EventId::kEvacuationRefused, "evacuation-refused", EventLevel::kWarning,
+     "An order names a data centre that is malformed or unknown."},
     {EventId::kForwardAdmitted, "forward-admitted", EventLevel::kDebug,
      "A gateway took a request in."},
     {EventId::kForwardRefused, "forward-refused", EventLevel::kInfo,
--- a/src/state/table/process_settings.h
+++ b/src/state/table/process_settings.h
@@ -157,6 +157,10 @@
                R::kAddress, 0, 0, "",
                "Some gateways, by any of their addresses; the port of "
                "listen.peers is the same on all."},
+    ProcessKey{"gateway.data_centres", &P::gateway_data_centres_, "",
+               N::kNobody, R::kAny, 0, 0, "",
+               "All data centres with targets; an order to evacuate another "
+               "one is refused. Empty: any name is accepted."},
     ProcessKey{"gateway.tolerated_losses", &P::gateway_tolerated_losses_, "1",
                N::kNobody, R::kAny, 0, 10, "members",
                "Members of the registry that may be lost at once."},
--- a/src/transport/gateway/gateway.cc
+++ b/src/transport/gateway/gateway.cc
@@ -256,6 +256,7 @@
   TickOrders(now);
   TickCrashProbes(now);
   TickLimitAsks(now);
+  TickColdTargets(now);
   scheduler_.OnTick(now);
   SendSchedulerReplies();
   ShareLoad(now);
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -271,6 +271,10 @@
   void OnPutConfiguration(const HttpRequest& request,
                           HttpService::Respond done);
   void OnGetConfiguration(HttpService::Respond done);
+  void OnEvacuationOrder(const EvacuationOrder& order,
+                         HttpService::Respond done);
+  void OnListEvacuations(const HttpService::Respond& done);
+  bool KnowsDataCentre(const DataCentreId& data_centre) const;
   std::string MetricsText();
 
   // gateway_prompts.cc: prompts that the leader places.
@@ -289,6 +293,8 @@
 
   // gateway_limits.cc: permits for targets that name a limit.
   void OnLimitReply(const LimitReply& reply);
+  /** Limits requests to targets that say that they are cold. */
+  void TickColdTargets(TimePoint now);
   void TickLimitAsks(TimePoint now);
 
   // gateway_orders.cc: orders to targets.
--- a/src/transport/gateway/gateway_calls.cc
+++ b/src/transport/gateway/gateway_calls.cc
@@ -53,6 +53,16 @@
     case ControlCall::kGetConfiguration:
       OnGetConfiguration(std::move(done));
       return;
+    case ControlCall::kEvacuate:
+    case ControlCall::kEndEvacuation:
+      OnEvacuationOrder(
+          EvacuationOrder{DataCentreId(call.id_),
+                          call.call_ == ControlCall::kEndEvacuation},
+          std::move(done));
+      return;
+    case ControlCall::kListEvacuations:
+      OnListEvacuations(done);
+      return;
     case ControlCall::kUnknown:
       done(JsonReply(kNotFound, "{}"));
       return;
@@ -175,6 +185,8 @@
   set("configuration",
       static_cast<double>(registry_.ServedConfiguration().Version()));
   set("lease", registry_.HasLease(Now()) ? 1 : 0);
+  set("evacuated_data_centres",
+      static_cast<double>(registry_.Evacuations().DataCentres().size()));
   set("held_bytes", static_cast<double>(memory_.Total()));
   set("log_lines_dropped", static_cast<double>(log_.Dropped()));
   return prometheus::TextSerializer().Serialize(metrics_registry_.Collect());
--- /dev/null
+++ b/src/transport/gateway/gateway_evacuations.cc
@@ -0,0 +1,84 @@
+/** @file gateway_evacuations.cc Orders of operators about data centres. */
+#include <algorithm>
+#include <cctype>
+
+#include "transport/gateway/gateway.h"
+
+namespace gv {
+namespace {
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kUnavailable = 503;
+constexpr size_t kMostNameBytes = 64;
+
+/** @return True for 1 to 64 letters, digits, '-', '_' and '.'. */
+bool IsDataCentreName(const std::string& name) {
+  const auto is_allowed = [](unsigned char c) {
+    return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+  };
+  return !name.empty() && name.size() <= kMostNameBytes &&
+         std::all_of(name.begin(), name.end(), is_allowed);
+}
+
+HttpReply TextReply(unsigned status, std::string text) {
+  return MakeReply(status, "text/plain", std::move(text));
+}
+
+}  // namespace
+
+bool Gateway::KnowsDataCentre(const DataCentreId& data_centre) const {
+  const std::vector<std::string>& known = settings_.gateway_data_centres_;
+  // Targets of other data centres may not have registered yet.
+  if (known.empty() || data_centre.Value() == settings_.data_centre_ ||
+      std::find(known.begin(), known.end(), data_centre.Value()) !=
+          known.end()) {
+    return true;
+  }
+  const auto& targets = registry_.Targets().All();
+  return std::any_of(targets.begin(), targets.end(), [&](const auto& item) {
+    return item.second.target_.data_centre_ == data_centre;
+  });
+}
+
+void Gateway::OnEvacuationOrder(const EvacuationOrder& order,
+                                HttpService::Respond done) {
+  const std::string& name = order.data_centre_.Value();
+  if (!IsDataCentreName(name)) {
+    Record(EventId::kEvacuationRefused,
+           "the name of the data centre is malformed");
+    done(TextReply(kBadRequest,
+                   "a data centre has 1 to 64 letters, digits, '-', '_' or "
+                   "'.' in its name\n"));
+    return;
+  }
+  if (!KnowsDataCentre(order.data_centre_)) {
+    Record(EventId::kEvacuationRefused,
+           "data_centre=" + name + " is not known");
+    done(TextReply(kNotFound, "data centre " + name + " is not known\n"));
+    return;
+  }
+  Outbox out(Endpoint{self_, Port::kControl});
+  const OperationId id = registry_.SubmitEvacuation(Now(), order, out);
+  operations_[id] = [done = std::move(done)](const OperationResult& end) {
+    const bool accepted = end.state_ == OperationState::kAccepted;
+    done(MakeReply(accepted ? kOk : kUnavailable, "application/json", "{}"));
+  };
+  CarryOut(out);
+}
+
+void Gateway::OnListEvacuations(const HttpService::Respond& done) {
+  if (!registry_.HasLease(Now())) {
+    done(MakeReply(kUnavailable, "application/json", "{}"));
+    return;
+  }
+  std::string names;
+  for (const DataCentreId& id : registry_.Evacuations().DataCentres()) {
+    names += names.empty() ? "\"" : ",\"";
+    names += id.Value() + "\"";
+  }
+  done(MakeReply(kOk, "application/json", "{\"evacuated\":[" + names + "]}"));
+}
+
+}  // namespace gv
--- a/src/transport/gateway/gateway_limits.cc
+++ b/src/transport/gateway/gateway_limits.cc
@@ -4,6 +4,7 @@
 #include "transport/gateway/gateway.h"
 
 namespace gv {
+
 void Gateway::OnAnswerLimit(const TargetId& target, const AnswerFacts& facts,
                             TimePoint sent) {
   Outbox out(Endpoint{self_, Port::kControl});
@@ -29,6 +30,21 @@
   CarryOut(out);
 }
 
+void Gateway::TickColdTargets(TimePoint now) {
+  TargetLimits& limits = registry_.Limits();
+  limits.EndCold(now);
+  if (!table_ || !table_->HasColdTargets()) {
+    return;
+  }
+  for (const auto& [id, entry] : registry_.Targets().All()) {
+    const Service* service = table_->FindService(entry.target_.service_);
+    if (entry.warm_at_ > now && service != nullptr &&
+        service->cold_per_second_ > 0) {
+      limits.SetCold(now, id, service->cold_per_second_, entry.warm_at_);
+    }
+  }
+}
+
 OperationId Gateway::AskForLimitPermit(
     const std::vector<TargetId>& targets, Duration longest_wait,
     std::function<void(const LimitReply&)> done) {
--- a/src/transport/gateway/wire_codec.h
+++ b/src/transport/gateway/wire_codec.h
@@ -71,12 +71,15 @@
   kDepart,
   kPutConfiguration,
   kGetConfiguration,
+  kEvacuate,         ///< Nothing more is sent to targets of a data centre.
+  kEndEvacuation,    ///< Takes that back.
+  kListEvacuations,  ///< Asks for the evacuated data centres.
 };
 
 /** One such call. */
 struct ControlRequest {
   ControlCall call_ = ControlCall::kUnknown;  ///< Which.
-  std::string id_;                            ///< Target of a registration.
+  std::string id_;  ///< Target of a registration, or data centre.
 };
 
 /** An order to a target. */
