Refuse late copies of evacuation orders; keep reservations out of evacuated data centres; tests and operators' commands

A forwarded order carries the revision that its gateway obeys, so that a copy that a slow link delivers late cannot undo an order acknowledged since. Reservations, waiting prompts and retries check the lease and the target; a service with only evacuated targets is refused at once.

--- a/src/cli/client_flags.cc
+++ b/src/cli/client_flags.cc
@@ -25,6 +25,8 @@
 DEFINE_int64(limit, 20, "most changes to show");
 DEFINE_int64(timeout_ms, 10'000, "longest time for the command");
 DEFINE_bool(print_table, false, "print the table of settings and end");
+DEFINE_string(at, "", "IP:port of the control address of a gateway");
+DEFINE_bool(end, false, "the evacuation ends");
 DECLARE_bool(help);
 
 namespace gv {
--- a/src/cli/client_flags.h
+++ b/src/cli/client_flags.h
@@ -21,6 +21,9 @@
 DECLARE_int64(to);
 DECLARE_int64(limit);
 DECLARE_bool(print_table);
+DECLARE_string(at);
+DECLARE_bool(end);
+DECLARE_int64(timeout_ms);
 
 namespace gv {
 
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -10,6 +10,7 @@
 #include "cli/client_flags.h"
 #include "cli/command_type.h"
 #include "cli/control_cmd.h"
+#include "cli/evacuation_cmd.h"
 #include "cli/exit_code.h"
 #include "cli/explain_cmd.h"
 #include "cli/replay_cmd.h"
@@ -44,6 +45,16 @@
 constexpr std::string_view kHistoryFlags =
     "  --limit=20             most changes to show\n";
 
+constexpr std::string_view kEvacuateFlags =
+    "  --at=IP:PORT           control address of any gateway\n"
+    "  --end                  requests may be sent there again\n"
+    "  --timeout_ms=10000     longest time for the command\n"
+    "  --output=text|json     form of the result\n";
+constexpr std::string_view kEvacuationsFlags =
+    "  --at=IP:PORT           control address of any gateway\n"
+    "  --timeout_ms=10000     longest time for the command\n"
+    "  --output=text|json     form of the result\n";
+
 /** A subcommand and which common flags it has. */
 struct CommandRow {
   Command command_;         ///< The subcommand.
@@ -108,6 +119,12 @@
       "force.",
       &RunStatus},
      true},
+    {{"evacuate", "DATA_CENTRE", kEvacuateFlags,
+      "Lets gateways send no further requests to the targets of a data "
+      "centre.",
+      &RunEvacuate}},
+    {{"evacuations", "", kEvacuationsFlags, "Lists evacuated data centres.",
+      &RunEvacuations}},
     {{"control add", "NODE", "", "Adds a control process as a learner.",
       &RunControlAdd},
      true},
--- a/src/coordination/gateway/evacuation_set.cc
+++ b/src/coordination/gateway/evacuation_set.cc
@@ -1,6 +1,7 @@
 /** @file evacuation_set.cc Text forms of orders and of the set. */
 #include "coordination/gateway/evacuation_set.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace gv {
@@ -22,6 +23,14 @@
 
 }  // namespace
 
+bool IsDataCentreName(std::string_view name) {
+  // Locale-independent, unlike std::isalnum.
+  constexpr std::string_view kAllowed =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_.";
+  return !name.empty() && name.size() <= kMaxDataCentreNameBytes &&
+         name.find_first_not_of(kAllowed) == std::string_view::npos;
+}
+
 std::string EncodeEvacuationEntry(const EvacuationOrder& order) {
   return std::string(order.withdrawn_ ? kWithdrawalPrefix : kOrderPrefix) +
          order.data_centre_.Value();
@@ -35,6 +44,9 @@
     }
     order.withdrawn_ = true;
   }
+  if (!IsDataCentreName(bytes)) {
+    return std::nullopt;
+  }
   order.data_centre_ = DataCentreId(std::string(bytes));
   return order;
 }
@@ -105,8 +117,16 @@
       digits >= line || *rest != ' ') {
     return std::nullopt;
   }
-  EvacuationSet set =
-      FromNames(revision, snapshot.substr(digits + 1, line - digits - 1));
+  const std::string_view names = snapshot.substr(digits + 1, line - digits - 1);
+  EvacuationSet set = FromNames(revision, names);
+  const bool are_names =
+      std::all_of(set.data_centres_.begin(), set.data_centres_.end(),
+                  [](const DataCentreId& data_centre) {
+                    return IsDataCentreName(data_centre.Value());
+                  });
+  if (revision == 0 || !are_names || set.Names() != names) {
+    return std::nullopt;
+  }
   snapshot.remove_prefix(line + 1);
   return set;
 }
--- a/src/coordination/gateway/evacuation_set.h
+++ b/src/coordination/gateway/evacuation_set.h
@@ -18,6 +18,14 @@
   bool withdrawn_ = false;    ///< Requests may be sent there again.
 };
 
+/** Longest name of a data centre, in bytes. */
+inline constexpr size_t kMaxDataCentreNameBytes = 64;
+
+/** @return True if @p name has 1 to kMaxDataCentreNameBytes letters, digits,
+ * '-', '_' and '.', so that it contains no separator of the encodings below.
+ * Thread safety: pure. */
+bool IsDataCentreName(std::string_view name);
+
 /** @return The log entry of an order; its form differs from that of
  * configurations and of retries. Thread safety: pure. */
 std::string EncodeEvacuationEntry(const EvacuationOrder& order);
--- a/src/coordination/gateway/placement.cc
+++ b/src/coordination/gateway/placement.cc
@@ -21,19 +21,37 @@
   return kMaxLongPartIntervals * FullIntervalMs(engine);
 }
 
-const std::vector<const DirectoryEntry*>& Placer::ReadyEntries(
+const Placer::ReadyTargets& Placer::ReadyTargetsOf(
     const std::string& service) const {
   ReadyTargets& ready = ready_targets_[service];
-  if (ready.changes_ != directory_.ChangeCount()) {
-    ready.changes_ = directory_.ChangeCount();
-    ready.entries_.clear();
-    for (const auto& [id, entry] : directory_.All()) {
-      if (entry.target_.service_ == service && directory_.MayBeUsed(entry)) {
-        ready.entries_.push_back(&entry);
-      }
+  if (ready.changes_ == directory_.ChangeCount()) {
+    return ready;
+  }
+  ready.changes_ = directory_.ChangeCount();
+  ready.entries_.clear();
+  bool has_evacuated = false;
+  for (const auto& [id, entry] : directory_.All()) {
+    if (entry.target_.service_ != service ||
+        entry.target_.state_ != RegistrationState::kReady) {
+      continue;
+    }
+    if (directory_.MayBeUsed(entry)) {
+      ready.entries_.push_back(&entry);
+    } else {
+      has_evacuated = true;
     }
   }
-  return ready.entries_;
+  ready.is_evacuated_ = has_evacuated && ready.entries_.empty();
+  return ready;
+}
+
+const std::vector<const DirectoryEntry*>& Placer::ReadyEntries(
+    const std::string& service) const {
+  return ReadyTargetsOf(service).entries_;
+}
+
+bool Placer::IsEvacuated(const std::string& service) const {
+  return ReadyTargetsOf(service).is_evacuated_;
 }
 
 bool Placer::InitCandidate(TimePoint now, const DirectoryEntry& entry,
--- a/src/coordination/gateway/placement.h
+++ b/src/coordination/gateway/placement.h
@@ -156,6 +156,10 @@
    * of a plain service. */
   static Duration ShortestWork(const PlacementRequest& request);
 
+  /** @return True if the service has ready targets and all of them are in
+   * evacuated data centres. */
+  bool IsEvacuated(const std::string& service) const;
+
   /** @return Time until one of the targets that are suspected or paused now may
    * be used again; nothing if there is none. */
   std::optional<Duration> UntilUsable(TimePoint now,
@@ -233,11 +237,13 @@
   struct ReadyTargets {
     uint64_t changes_ = UINT64_MAX;  ///< Directory version of the cache.
     std::vector<const DirectoryEntry*> entries_;  ///< Sorted by id.
+    bool is_evacuated_ = false;                   ///< As IsEvacuated().
   };
 
   static void SortByOrder(std::vector<Candidate>& candidates);
   std::vector<Candidate> Candidates(TimePoint now,
                                     const PlacementRequest& request) const;
+  const ReadyTargets& ReadyTargetsOf(const std::string& service) const;
   const std::vector<const DirectoryEntry*>& ReadyEntries(
       const std::string& service) const;
   bool InitCandidate(TimePoint now, const DirectoryEntry& entry,
--- a/src/coordination/gateway/registry_core.cc
+++ b/src/coordination/gateway/registry_core.cc
@@ -260,7 +260,8 @@
   } else if (operation.evacuation_) {
     out.Send(ControlEndpoint(leader_),
              EvacuationForward{id, operation.evacuation_->data_centre_,
-                               operation.evacuation_->withdrawn_});
+                               operation.evacuation_->withdrawn_,
+                               evacuations_.Revision()});
   } else {
     out.Send(ControlEndpoint(leader_),
              ChangeForward{id, operation.version_, operation.text_});
--- a/src/coordination/gateway/registry_evacuations.cc
+++ b/src/coordination/gateway/registry_evacuations.cc
@@ -20,6 +20,11 @@
     out.Send(from, ChangeOutcome{forward.operation_, false});
     return;
   }
+  if (!IsDataCentreName(forward.data_centre_.Value())) {
+    // Gateways check names before they forward an order.
+    Record(EventId::kBadInput, "the name of the data centre is malformed", out);
+    return;
+  }
   const EvacuationOrder order{forward.data_centre_, forward.withdrawn_};
   // While another order for the data centre is on its way to the disks, the
   // committed state does not tell what this one will change.
@@ -34,6 +39,14 @@
     out.Send(from, ChangeOutcome{forward.operation_, true});
     return;
   }
+  if (forward.based_on_ < committed_evacuations_.Revision()) {
+    // A copy of an order that was delayed on its way must not undo an order
+    // that was acknowledged since. A pending order is sent again after the
+    // push.
+    out.Send(from, MakeEvacuationPush());
+    out.Send(from, ChangeOutcome{forward.operation_, false});
+    return;
+  }
   const Result<LogIndex> index = replica_->Propose(
       now, EntryKind::kCommand, EncodeEvacuationEntry(order), out);
   if (!index.has_value()) {
--- a/src/protocol/registry_messages.h
+++ b/src/protocol/registry_messages.h
@@ -49,6 +49,8 @@
   OperationId operation_;     ///< Matches ChangeOutcome.
   DataCentreId data_centre_;  ///< Which data centre.
   bool withdrawn_ = false;    ///< The evacuation ends.
+  uint64_t based_on_ = 0;     ///< Revision of the evacuations that the sender
+                              ///< obeys.
 };
 
 /** A whole configuration, from a member to a gateway that has an older one. */
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -28,6 +28,9 @@
 inline constexpr const char* kTooMuchMemory = "too-much-memory";
 /** Reason for refusing what no ready target is left for. */
 inline constexpr const char* kNoTarget = "no-target";
+/** Reason for refusing what only targets of evacuated data centres could take.
+ */
+inline constexpr const char* kEvacuated = "evacuated";
 /** Reason for refusing what only targets with a limit could take. */
 inline constexpr const char* kTargetLimit = "target-limit";
 
@@ -140,6 +143,12 @@
    * all of them bear one id and a second copy of an answer could be taken for
    * that of the next attempt. */
   std::shared_ptr<TargetConnection> ConnectionTo(const std::string& address);
+  /** Ends the request if every ready target of its service is in an evacuated
+   * data centre. @return True if it has ended. */
+  bool RefuseEvacuated();
+  /** @return True if the request may go to the target and the holders of
+   * memory; otherwise it is placed elsewhere, or ends without a lease. */
+  bool MayUse(const Placement& placement);
   void PlaceElsewhere(const TargetId& target, const char* reason);
   std::string BuildRequest(const Placement& placement) const;
   std::vector<std::string> HelperList(const Placement& placement) const;
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -60,8 +60,35 @@
   return to_place;
 }
 
+bool Forward::RefuseEvacuated() {
+  if (!gateway_.GetPlacer().IsEvacuated(service_.name_)) {
+    return false;
+  }
+  FinishWithoutRetry(AttemptEnd{RunState::kNotRun, false}, kEvacuated);
+  return true;
+}
+
+bool Forward::MayUse(const Placement& placement) {
+  if (!gateway_.Registry().HasLease(gateway_.Now())) {
+    // The newest evacuations may not be known here.
+    FinishWithoutRetry(AttemptEnd{RunState::kNotRun, false}, "no-lease");
+    return false;
+  }
+  if (!gateway_.MaySendTo(placement.target_)) {
+    PlaceElsewhere(placement.target_, "target-not-ready");
+    return false;
+  }
+  for (const ReservationPlan& plan : placement.reservations_) {
+    if (!gateway_.MaySendTo(plan.target_)) {
+      PlaceElsewhere(plan.target_, "holder-not-ready");
+      return false;
+    }
+  }
+  return true;
+}
+
 void Forward::StartAttempt() {
-  if (RefuseQuarantined()) {
+  if (RefuseQuarantined() || RefuseEvacuated()) {
     return;
   }
   const PlacementRequest to_place = ToPlace();
@@ -102,11 +129,7 @@
 
 void Forward::SendTo(const Placement& placement) {
   const TimePoint now = gateway_.Now();
-  if (!gateway_.MaySendTo(placement.target_)) {
-    PlaceElsewhere(placement.target_, "target-not-ready");
-    return;
-  }
-  if (RefuseQuarantined() || !HasLimitPermit(placement)) {
+  if (!MayUse(placement) || RefuseQuarantined() || !HasLimitPermit(placement)) {
     return;
   }
   if (!ObtainRetryPermit()) {
--- a/src/transport/gateway/forward_prompt.cc
+++ b/src/transport/gateway/forward_prompt.cc
@@ -124,6 +124,11 @@
 }
 
 void Forward::CheckLeaderTimeouts(TimePoint now) {
+  const bool waits = waiting_for_leader_ ||
+                     leader_reply_deadline_ != TimePoint() || limit_permit_;
+  if (waits && !attempt_ && RefuseEvacuated()) {
+    return;
+  }
   if (waiting_for_leader_ &&
       (gateway_.IsLeaderAvailable() || now >= leader_wait_deadline_)) {
     waiting_for_leader_ = false;
--- a/src/transport/gateway/forward_reserve.cc
+++ b/src/transport/gateway/forward_reserve.cc
@@ -19,6 +19,9 @@
 }  // namespace
 
 void Forward::Reserve(const Placement& placement) {
+  if (!MayUse(placement)) {
+    return;
+  }
   for (const ReservationPlan& plan : placement.reservations_) {
     if (gateway_.IsLimited(plan.target_)) {
       PlaceElsewhere(plan.target_, kTargetLimit);
--- a/src/transport/gateway/gateway_evacuations.cc
+++ b/src/transport/gateway/gateway_evacuations.cc
@@ -1,6 +1,5 @@
 /** @file gateway_evacuations.cc Orders of operators about data centres. */
 #include <algorithm>
-#include <cctype>
 
 #include "transport/gateway/gateway.h"
 
@@ -11,16 +10,6 @@
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kUnavailable = 503;
-constexpr size_t kMostNameBytes = 64;
-
-/** @return True for 1 to 64 letters, digits, '-', '_' and '.'. */
-bool IsDataCentreName(const std::string& name) {
-  const auto is_allowed = [](unsigned char c) {
-    return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
-  };
-  return !name.empty() && name.size() <= kMostNameBytes &&
-         std::all_of(name.begin(), name.end(), is_allowed);
-}
 
 HttpReply TextReply(unsigned status, std::string text) {
   return MakeReply(status, "text/plain", std::move(text));
@@ -30,8 +19,10 @@
 
 bool Gateway::KnowsDataCentre(const DataCentreId& data_centre) const {
   const std::vector<std::string>& known = settings_.gateway_data_centres_;
-  // Targets of other data centres may not have registered yet.
+  // Without names in the settings, targets of other data centres may not have
+  // registered yet. An evacuation can be withdrawn when its targets are gone.
   if (known.empty() || data_centre.Value() == settings_.data_centre_ ||
+      registry_.Evacuations().Contains(data_centre) ||
       std::find(known.begin(), known.end(), data_centre.Value()) !=
           known.end()) {
     return true;
--- a/src/transport/gateway/wire_codec.h
+++ b/src/transport/gateway/wire_codec.h
@@ -88,6 +88,12 @@
   std::string body_;  ///< JSON text.
 };
 
+/** A request of an operator to the control address, without a body. */
+struct OperatorCall {
+  std::string method_;  ///< For example "POST".
+  std::string path_;    ///< With the name of the data centre.
+};
+
 /** Translates between the product's types and the wire. All functions are pure
  * and may be called on any thread. */
 struct WireCodec {
@@ -115,6 +121,11 @@
                                  Duration hold) = nullptr;
   /** Makes an order that ends a reservation. */
   TargetOrder (*encode_release_)(const std::string& ticket) = nullptr;
+  /** Makes a call about evacuations, which read_control_ reads back.
+   * @param call kEvacuate, kEndEvacuation or kListEvacuations.
+   * @param data_centre Its name; ignored for a list. */
+  OperatorCall (*encode_evacuation_)(ControlCall call,
+                                     const std::string& data_centre) = nullptr;
 };
 
 /** Sets the codec that gateways use. Call from main, before RunCommandLine. */
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -27,11 +27,13 @@
 constexpr int kHttp11 = 11;
 
 http::request<http::string_body> MakeRequest(const HttpPost& post) {
-  http::request<http::string_body> request(http::verb::post, post.path_,
-                                           kHttp11);
+  http::request<http::string_body> request(http::string_to_verb(post.method_),
+                                           post.path_, kHttp11);
   request.set(http::field::host, post.address_);
   request.set(http::field::content_type, "application/json");
-  request.set(http::field::authorization, "Bearer " + post.bearer_);
+  if (!post.bearer_.empty()) {
+    request.set(http::field::authorization, "Bearer " + post.bearer_);
+  }
   request.body() = post.body_;
   request.prepare_payload();
   return request;
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -11,11 +11,12 @@
 
 /** An HTTP request to one address. */
 struct HttpPost {
-  std::string address_;  ///< "IP:port".
-  std::string path_;     ///< For example "/rpc".
-  std::string bearer_;   ///< Key for the Authorization header.
-  std::string body_;     ///< JSON text.
-  Duration timeout_;     ///< For the whole exchange.
+  std::string address_;          ///< "IP:port".
+  std::string path_;             ///< For example "/rpc".
+  std::string bearer_;           ///< Key for the Authorization header; or none.
+  std::string body_;             ///< JSON text.
+  Duration timeout_;             ///< For the whole exchange.
+  std::string method_ = "POST";  ///< Method of the request.
 };
 
 /** An HTTP answer. */
--- a/tests/cli_test.cc
+++ b/tests/cli_test.cc
@@ -33,6 +33,16 @@
   CHECK(Run({"settings", "get", "--base"}) == kExitUsage);
 }
 
+// A name with other characters would call another path of the gateway.
+TEST_CASE("cli: evacuations need an address and a sound name") {
+  CHECK(Run({"evacuate"}) == kExitUsage);
+  CHECK(Run({"evacuate", "west"}) == kExitUsage);
+  CHECK(Run({"evacuate", "a/b", "--at=127.0.0.1:1"}) == kExitUsage);
+  CHECK(Run({"evacuate", "a", "b", "--at=127.0.0.1:1"}) == kExitUsage);
+  CHECK(Run({"evacuations", "a", "--at=127.0.0.1:1"}) == kExitUsage);
+  CHECK(Run({"evacuations", "--at="}) == kExitUsage);
+}
+
 TEST_CASE("cli: a verdict has one exit code") {
   CHECK(ExitCodeOf(NotRun(Reason::kBadRequest, "")) == kExitRefused);
   CHECK(ExitCodeOf(NotRun(Reason::kConflict, "")) == kExitConflict);
--- a/tests/fuzz/platform_fuzz.cc
+++ b/tests/fuzz/platform_fuzz.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "coordination/gateway/evacuation_set.h"
 #include "coordination/gateway/event_splitter.h"
 #include "coordination/gateway/routing_table.h"
 #include "platform/platform_codec.h"
@@ -34,6 +35,20 @@
   }
 }
 
+/** An entry or a snapshot head that is read is written back unchanged. */
+void ReadEvacuations(std::string_view bytes) {
+  const auto order = gv::DecodeEvacuationEntry(bytes);
+  Require(!order || gv::EncodeEvacuationEntry(*order) == bytes);
+  std::string_view rest = bytes;
+  const auto set = gv::EvacuationSet::TakeSnapshotHead(rest);
+  const std::string_view head = bytes.substr(0, bytes.size() - rest.size());
+  std::string_view again = head;
+  const auto second = gv::EvacuationSet::TakeSnapshotHead(again);
+  Require(!set ||
+          (second && again.empty() && second->Revision() == set->Revision() &&
+           second->Names() == set->Names()));
+}
+
 /** The same bytes in two pieces give the same events. */
 void SplitEvents(std::string_view bytes) {
   gv::EventSplitter whole(std::nullopt);
@@ -59,7 +74,10 @@
     (void)gv::RoutingTable::Build(configuration.value());
   }
   (void)gv::platform::DecodeRegistration("i-1", bytes);
-  (void)gv::platform::Codec().read_control_("PUT", bytes);
+  for (const char* method : {"PUT", "POST", "DELETE", "GET"}) {
+    (void)gv::platform::Codec().read_control_(method, bytes);
+  }
+  ReadEvacuations(bytes);
   ReadHeaders(bytes);
   SplitEvents(bytes);
   return 0;
--- /dev/null
+++ b/tests/platform/evacuation_path_test.cc
@@ -0,0 +1,95 @@
+/** @file evacuation_path_test.cc Orders to evacuate a data centre over real
+ * sockets: the calls of operators, and what callers get. */
+#include <doctest/doctest.h>
+
+#include <chrono>
+
+#include "platform/gateway_rig.h"
+#include "platform/path_requests.h"
+
+namespace gv {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+/** Far below the deadline of the requests, which may not wait for it. */
+constexpr std::chrono::milliseconds kAtOnce(1000);
+
+TEST_CASE("evacuation path: orders, withdrawals and the list") {
+  GatewayRig rig(kConfiguration, nullptr, ", data_centres: [d1, d2]");
+  const std::string path = "/v1/evacuations";
+  const auto list = [&]() { return rig.Control("GET", path, ""); };
+  CHECK(list().find(R"({"evacuated":[]})") != std::string::npos);
+  for (int i = 0; i < 2; ++i) {
+    CHECK(Begins(rig.Control("POST", path + "/d2", ""), "HTTP/1.1 200"));
+    CHECK(list().find(R"({"evacuated":["d2"]})") != std::string::npos);
+  }
+  CHECK(Begins(rig.Control("POST", path + "/d1", ""), "HTTP/1.1 200"));
+  CHECK(list().find(R"({"evacuated":["d1","d2"]})") != std::string::npos);
+  for (int i = 0; i < 2; ++i) {
+    CHECK(Begins(rig.Control("DELETE", path + "/d2", ""), "HTTP/1.1 200"));
+    CHECK(list().find(R"({"evacuated":["d1"]})") != std::string::npos);
+  }
+  for (const char* method : {"POST", "DELETE"}) {
+    for (const std::string& name :
+         {std::string(), std::string("a%20b"), std::string("a/b"),
+          std::string("a,b"), std::string(65, 'a')}) {
+      CAPTURE(name);
+      CHECK(Begins(rig.Control(method, path + "/" + name, ""), "HTTP/1.1 400"));
+    }
+    const std::string unknown = rig.Control(method, path + "/d9", "");
+    CHECK(Begins(unknown, "HTTP/1.1 404"));
+    CHECK(unknown.find("d9 is not known") != std::string::npos);
+  }
+  CHECK(list().find(R"({"evacuated":["d1"]})") != std::string::npos);
+  const std::string log = rig.Log();
+  for (const char* event : {"evacuation-accepted", "evacuation-ended",
+                            "evacuations-in-force", "evacuation-refused"}) {
+    CHECK_MESSAGE(log.find(event) != std::string::npos, event);
+  }
+}
+
+TEST_CASE("evacuation path: a service without other targets refuses at once") {
+  const auto script = [](const TargetRequest& request, TargetLine& line) {
+    if (request.line_.find("/read/") == std::string::npos) {
+      line.Send(Answer(request, 200, kSigned));
+      return;
+    }
+    line.BeginEvents(request);
+    line.SendEvent(1);
+    line.Send("0\r\n\r\n");
+  };
+  ScriptedTarget shop(script);
+  ScriptedTarget model(script);
+  GatewayRig rig(kConfiguration);
+  rig.Register("i-1", "shop", shop.Address());
+  rig.Register("i-2", "model", model.Address());
+  const std::string short_prompt = "Gooseberryvale-Token-Usage: 1000,800\r\n";
+  const std::string long_prompt = "Gooseberryvale-Token-Usage: 90000,800\r\n";
+  CHECK(Begins(rig.Ask(Request("/pay/x")), "HTTP/1.1 200"));
+  CHECK(Begins(rig.Ask(Request("/read/x", short_prompt)), "HTTP/1.1 200"));
+  const size_t calls = shop.Requests().size();
+  const size_t prompts = model.Requests().size();
+  REQUIRE(
+      Begins(rig.Control("POST", "/v1/evacuations/d1", ""), "HTTP/1.1 200"));
+  // Heartbeats of the targets continue and change nothing.
+  rig.Register("i-1", "shop", shop.Address());
+  for (const std::string& request :
+       {Request("/pay/x"), Request("/look/x"), Request("/read/x", short_prompt),
+        Request("/read/x", long_prompt)}) {
+    const auto begin = Clock::now();
+    const std::string answer = rig.Ask(request);
+    CHECK_MESSAGE(Begins(answer, "HTTP/1.1 503"), answer);
+    CHECK(answer.find("\r\nRetry-After: ") != std::string::npos);
+    CHECK(Clock::now() - begin < kAtOnce);
+  }
+  CHECK(shop.Requests().size() == calls);
+  CHECK(model.Requests().size() == prompts);
+  REQUIRE(
+      Begins(rig.Control("DELETE", "/v1/evacuations/d1", ""), "HTTP/1.1 200"));
+  CHECK(Begins(rig.Ask(Request("/pay/x")), "HTTP/1.1 200"));
+  CHECK(Begins(rig.Ask(Request("/read/x", short_prompt)), "HTTP/1.1 200"));
+}
+
+}  // namespace
+}  // namespace gv
--- a/tests/platform/platform_codec_test.cc
+++ b/tests/platform/platform_codec_test.cc
@@ -295,6 +295,31 @@
         ControlCall::kUnknown);
 }
 
+TEST_CASE("platform: calls about evacuations are read, and odd ones") {
+  const auto read = [](const char* method, const char* path) {
+    return Codec().read_control_(method, path);
+  };
+  CHECK(read("POST", "/v1/evacuations/west").call_ == ControlCall::kEvacuate);
+  CHECK(read("POST", "/v1/evacuations/west").id_ == "west");
+  CHECK(read("DELETE", "/v1/evacuations/west").call_ ==
+        ControlCall::kEndEvacuation);
+  CHECK(read("GET", "/v1/evacuations").call_ == ControlCall::kListEvacuations);
+  // The gateway answers 400 to malformed names, not 404.
+  CHECK(read("POST", "/v1/evacuations/").call_ == ControlCall::kEvacuate);
+  CHECK(read("POST", "/v1/evacuations/").id_.empty());
+  CHECK(read("DELETE", "/v1/evacuations/a/b?c").id_ == "a/b?c");
+  CHECK(read("PUT", "/v1/evacuations/west").call_ == ControlCall::kUnknown);
+  CHECK(read("GET", "/v1/evacuations/west").call_ == ControlCall::kUnknown);
+  CHECK(read("POST", "/v1/evacuations").call_ == ControlCall::kUnknown);
+  CHECK(read("POST", "/v1/evacuationswest").call_ == ControlCall::kUnknown);
+  for (const ControlCall call :
+       {ControlCall::kEvacuate, ControlCall::kEndEvacuation,
+        ControlCall::kListEvacuations}) {
+    const OperatorCall made = Codec().encode_evacuation_(call, "west");
+    CHECK(Codec().read_control_(made.method_, made.path_).call_ == call);
+  }
+}
+
 TEST_CASE("platform: limits that targets name, and odd ones") {
   HttpFields answer;
   CHECK(Codec().read_answer_(200, answer).limit_news_ == LimitNews::kNone);
--- a/tests/support/registry_group.cc
+++ b/tests/support/registry_group.cc
@@ -199,6 +199,17 @@
   return WaitFor(Host(at), id).state_;
 }
 
+OperationId RegistryGroup::BeginEvacuation(const std::string& at,
+                                           const std::string& data_centre,
+                                           bool withdrawn) {
+  OperationId id;
+  Act(at, [&](TimePoint now, RegistryCore& core, Outbox& out) {
+    id = core.SubmitEvacuation(
+        now, EvacuationOrder{DataCentreId(data_centre), withdrawn}, out);
+  });
+  return id;
+}
+
 OperationResult RegistryGroup::Read(const std::string& at) {
   OperationId id;
   Act(at, [&](TimePoint now, RegistryCore& core, Outbox& out) {
--- a/tests/support/registry_group.h
+++ b/tests/support/registry_group.h
@@ -70,6 +70,16 @@
    * @return Its state; kUnknown after the 2 s. */
   OperationState Change(const std::string& at, uint64_t version,
                         const std::string& text);
+  /** Submits an order about a data centre, without waiting. */
+  OperationId BeginEvacuation(const std::string& at,
+                              const std::string& data_centre,
+                              bool withdrawn = false);
+  /** Submits an order about a data centre and runs until it completes, for at
+   * most 2 s. @return Its state; kUnknown after the 2 s. */
+  OperationState Evacuate(const std::string& at, const std::string& data_centre,
+                          bool withdrawn = false) {
+    return Await(at, BeginEvacuation(at, data_centre, withdrawn));
+  }
   /** Asks for the newest version and runs until the operation completes, for at
    * most 2 s. @return Its result; kUnknown after the 2 s. */
   OperationResult Read(const std::string& at);
