--- a/src/cli/evacuation_cmd.cc
+++ b/src/cli/evacuation_cmd.cc
@@ -38,7 +38,7 @@
          status == kTooMany;
 }
 
-HttpPost MakeCall(const OperatorCall& call) {
+HttpPost MakeCall(const EvacuationCall& call) {
   HttpPost post;
   post.address_ = FLAGS_at;
   post.path_ = call.path_;
@@ -48,7 +48,7 @@
 }
 
 /** Repeats a call until it is answered or --timeout_ms is over. */
-Result<HttpAnswer> CallUntilAnswered(const OperatorCall& call) {
+Result<HttpAnswer> CallUntilAnswered(const EvacuationCall& call) {
   using Clock = std::chrono::steady_clock;
   const HttpPost post = MakeCall(call);
   const auto end = Clock::now() + std::chrono::milliseconds(FLAGS_timeout_ms);
--- a/src/transport/gateway/wire_codec.h
+++ b/src/transport/gateway/wire_codec.h
@@ -89,7 +89,7 @@
 };
 
 /** A request of an operator to the control address, without a body. */
-struct OperatorCall {
+struct EvacuationCall {
   std::string method_;  ///< For example "POST".
   std::string path_;    ///< With the name of the data centre.
 };
@@ -124,8 +124,8 @@
   /** Makes a call about evacuations, which read_control_ reads back.
    * @param call kEvacuate, kEndEvacuation or kListEvacuations.
    * @param data_centre Its name; ignored for a list. */
-  OperatorCall (*encode_evacuation_)(ControlCall call,
-                                     const std::string& data_centre) = nullptr;
+  EvacuationCall (*encode_evacuation_)(
+      ControlCall call, const std::string& data_centre) = nullptr;
 };
 
 /** Sets the codec that gateways use. Call from main, before RunCommandLine. */
--- a/tests/platform/evacuation_path_test.cc
+++ b/tests/platform/evacuation_path_test.cc
@@ -4,8 +4,11 @@
 
 #include <chrono>
 
+#include "cli/commands.h"
+#include "cli/exit_code.h"
 #include "platform/gateway_rig.h"
 #include "platform/path_requests.h"
+#include "platform/platform_codec.h"
 
 namespace gv {
 namespace {
@@ -49,6 +52,33 @@
   }
 }
 
+// The commands and the gateway must agree on the calls.
+TEST_CASE("evacuation path: the commands of operators") {
+  GatewayRig rig(kConfiguration, nullptr, ", data_centres: [d1, d2]");
+  SetWireCodec(&platform::Codec());
+  boost::asio::io_context io;
+  const auto control = rig.ConnectControl(io).remote_endpoint();
+  const std::string at = "--at=" + control.address().to_string() + ":" +
+                         std::to_string(control.port());
+  const auto run = [&](std::vector<std::string> args) {
+    args.insert(args.begin(), "gooseberryvale");
+    args.push_back(at);
+    args.emplace_back("--timeout_ms=3000");
+    std::vector<char*> argv;
+    for (std::string& arg : args) {
+      argv.push_back(arg.data());
+    }
+    return RunCommandLine(static_cast<int>(argv.size()), argv.data());
+  };
+  const auto list = [&]() { return rig.Control("GET", "/v1/evacuations", ""); };
+  CHECK(run({"evacuate", "d2", "--end=false"}) == kExitDone);
+  CHECK(list().find(R"({"evacuated":["d2"]})") != std::string::npos);
+  CHECK(run({"evacuations"}) == kExitDone);
+  CHECK(run({"evacuate", "d9", "--end=false"}) == kExitRefused);
+  CHECK(run({"evacuate", "d2", "--end"}) == kExitDone);
+  CHECK(list().find(R"({"evacuated":[]})") != std::string::npos);
+}
+
 TEST_CASE("evacuation path: a service without other targets refuses at once") {
   const auto script = [](const TargetRequest& request, TargetLine& line) {
     if (request.line_.find("/read/") == std::string::npos) {
--- a/tests/platform/platform_codec_test.cc
+++ b/tests/platform/platform_codec_test.cc
@@ -307,7 +307,9 @@
   // The gateway answers 400 to malformed names, not 404.
   CHECK(read("POST", "/v1/evacuations/").call_ == ControlCall::kEvacuate);
   CHECK(read("POST", "/v1/evacuations/").id_.empty());
-  CHECK(read("DELETE", "/v1/evacuations/a/b?c").id_ == "a/b?c");
+  CHECK(read("DELETE", "/v1/evacuations/a/b").id_ == "a/b");
+  // A query is ignored, as in all calls.
+  CHECK(read("DELETE", "/v1/evacuations/west?c").id_ == "west");
   CHECK(read("PUT", "/v1/evacuations/west").call_ == ControlCall::kUnknown);
   CHECK(read("GET", "/v1/evacuations/west").call_ == ControlCall::kUnknown);
   CHECK(read("POST", "/v1/evacuations").call_ == ControlCall::kUnknown);
@@ -315,7 +317,7 @@
   for (const ControlCall call :
        {ControlCall::kEvacuate, ControlCall::kEndEvacuation,
         ControlCall::kListEvacuations}) {
-    const OperatorCall made = Codec().encode_evacuation_(call, "west");
+    const EvacuationCall made = Codec().encode_evacuation_(call, "west");
     CHECK(Codec().read_control_(made.method_, made.path_).call_ == call);
   }
 }
