Limit requests to cold targets in the registry, in the step that hears of them

Each registration of a cold target is passed on to all gateways, as heartbeats and digests carry no cold time. Buckets of cold targets are smaller and permits are given 0.2 s ahead at most, so that a change of the leader stays within 1.5 times coldPerS and five.

--- a/src/coordination/gateway/registry_core.cc
+++ b/src/coordination/gateway/registry_core.cc
@@ -109,7 +109,7 @@
   TickLeaving(now, out);
   TickRetries(now, out);
   TickParts(now, out);
-  TickLimits(now);
+  TickLimits(now, out);
 }
 
 bool RegistryCore::IsActiveLeader(TimePoint now) const {
--- a/src/coordination/gateway/registry_core.h
+++ b/src/coordination/gateway/registry_core.h
@@ -99,6 +99,9 @@
   /** @return Limits that targets named. */
   TargetLimits& Limits() { return limits_; }
   const TargetLimits& Limits() const { return limits_; }
+  /** Sets the services whose targets can be cold, by name. */
+  void SetColdServices(TimePoint now,
+                       std::map<std::string, ColdBounds> services);
   /** Makes sure that Limits() gives out permits only while this gateway leads.
    * Call before permits are taken from it. */
   void SyncLimits(TimePoint now);
@@ -274,10 +277,17 @@
   void AnswerLimitAsk(const Endpoint& from, const LimitAsk& ask,
                       const std::string& detail, LimitReply reply,
                       Outbox& out) const;
-  void TickLimits(TimePoint now);
+  void TickLimits(TimePoint now, Outbox& out);
   void RecordLimit(const std::string& source, const TargetLimitRow& row,
                    Outbox& out) const;
 
+  // registry_cold.cc: targets that are cold.
+  TargetDirectory::Change MergeTarget(TimePoint now,
+                                      const TargetRegistration& target);
+  void UpdateCold(TimePoint now, const DirectoryEntry& entry);
+  TargetRegistration WithWarmUp(TimePoint now, TargetRegistration target) const;
+  void TickCold(TimePoint now, Outbox& out);
+
   // registry_targets.cc: registrations and their replication.
   void OnGossip(TimePoint now, const NodeId& from, const TargetGossip& gossip,
                 Outbox& out);
@@ -314,6 +324,7 @@
   bool IsMember(const NodeId& node) const;
 
   RegistrySettings settings_;
+  std::map<std::string, ColdBounds> cold_services_;  ///< By name.
   std::optional<ReplicaCore> replica_;  ///< Empty without a working disk.
   ConfigurationStore committed_;  ///< State of the log up to last_applied_.
   ConfigurationStore served_;     ///< Configuration served here.
--- a/src/coordination/gateway/registry_leaving.cc
+++ b/src/coordination/gateway/registry_leaving.cc
@@ -55,8 +55,8 @@
 
 void RegistryCore::OnLeavingNotice(TimePoint now, const Endpoint& from,
                                    const LeavingNotice& notice, Outbox& out) {
-  const TargetDirectory::Change change = targets_.Merge(now, notice.target_);
-  if (change == TargetDirectory::Change::kChanged && ForwardsChanges(now)) {
+  const TargetDirectory::Change change = MergeTarget(now, notice.target_);
+  if (TargetDirectory::IsPassedOn(change) && ForwardsChanges(now)) {
     QueueChange(notice.target_.id_);
   }
   out.Send(from, LeavingNoted{notice.operation_});
--- a/src/coordination/gateway/registry_limits.cc
+++ b/src/coordination/gateway/registry_limits.cc
@@ -74,6 +74,10 @@
         over.rows_.push_back(*known);
       }
     }
+    if (row.age_ >= kNeverNamed && !limits_.IsLimited(row.target_)) {
+      // Cold for the gateway that asks; its statement is still on the way.
+      continue;
+    }
     if (soonest == nullptr || limits_.UntilPermit(now, row.target_) <
                                   limits_.UntilPermit(now, soonest->target_)) {
       soonest = &row;
@@ -112,8 +116,9 @@
   out.Send(from, std::move(reply));
 }
 
-void RegistryCore::TickLimits(TimePoint now) {
+void RegistryCore::TickLimits(TimePoint now, Outbox& out) {
   SyncLimits(now);
+  TickCold(now, out);
   if (now >= next_limit_expiry_) {
     constexpr Duration kExpiryPeriod = 10_s;
     next_limit_expiry_ = now + kExpiryPeriod;
--- a/src/coordination/gateway/registry_targets.cc
+++ b/src/coordination/gateway/registry_targets.cc
@@ -9,9 +9,12 @@
 
 std::optional<OperationId> RegistryCore::RegisterTarget(
     TimePoint now, const TargetRegistration& target, Outbox& out) {
-  const TargetDirectory::Change change = targets_.Merge(now, target);
+  const TargetDirectory::Change change =
+      MergeTarget(now, WithWarmUp(now, target));
   if (change == TargetDirectory::Change::kRefreshed) {
     refreshed_.insert(target.id_);
+  } else if (change == TargetDirectory::Change::kWarmUp) {
+    QueueChange(target.id_);
   } else if (change == TargetDirectory::Change::kChanged) {
     Event event;
     event.id_ = target.state_ == RegistrationState::kReady
@@ -242,8 +245,8 @@
                             const TargetGossip& gossip, Outbox& out) {
   const bool forwards = gossip.parts_.empty() && ForwardsChanges(now);
   for (const TargetRegistration& target : gossip.targets_) {
-    const TargetDirectory::Change change = targets_.Merge(now, target);
-    if (forwards && change == TargetDirectory::Change::kChanged) {
+    const TargetDirectory::Change change = MergeTarget(now, target);
+    if (forwards && TargetDirectory::IsPassedOn(change)) {
       QueueChange(target.id_);
     }
   }
--- a/src/coordination/gateway/routing_table.cc
+++ b/src/coordination/gateway/routing_table.cc
@@ -64,12 +64,21 @@
     if (!services_.emplace(name, i).second) {
       return InvalidConfiguration("service \"" + name + "\" is given twice");
     }
-    has_cold_targets_ =
-        has_cold_targets_ || configuration_.services_[i].cold_per_second_ > 0;
   }
   return boost::outcome_v2::success();
 }
 
+std::map<std::string, ColdBounds> RoutingTable::ColdServices() const {
+  std::map<std::string, ColdBounds> cold;
+  for (const Service& service : configuration_.services_) {
+    if (service.cold_per_second_ > 0) {
+      cold[service.name_] =
+          ColdBounds{service.cold_per_second_, service.cold_start_};
+    }
+  }
+  return cold;
+}
+
 Result<void> RoutingTable::IndexRoutes() {
   for (size_t i = 0; i < configuration_.routes_.size(); ++i) {
     const Route& route = configuration_.routes_[i];
--- a/src/coordination/gateway/routing_table.h
+++ b/src/coordination/gateway/routing_table.h
@@ -2,10 +2,12 @@
  * a request in the current configuration. */
 #pragma once
 
+#include <map>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 
+#include "coordination/gateway/target_limits.h"
 #include "state/routing_type.h"
 #include "state/verdict_type.h"
 
@@ -39,8 +41,8 @@
   const Customer* FindCustomer(const std::string& key) const;
   /** @return The service with this name, or nullptr. */
   const Service* FindService(const std::string& name) const;
-  /** @return True if targets of a service can be cold. */
-  bool HasColdTargets() const { return has_cold_targets_; }
+  /** @return The services whose targets can be cold, by name. */
+  std::map<std::string, ColdBounds> ColdServices() const;
   /** @return True if requests need the key of a customer, as customers are
    * configured. */
   bool NeedsKeys() const { return !configuration_.customers_.empty(); }
@@ -62,7 +64,6 @@
   void CollectRanks();
 
   RoutingConfiguration configuration_;
-  bool has_cold_targets_ = false;
   std::unordered_map<std::string, size_t>
       routes_;  ///< Indices by host and prefix.
   std::unordered_map<std::string, size_t> services_;   ///< Indices by name.
--- a/src/coordination/gateway/target_directory.cc
+++ b/src/coordination/gateway/target_directory.cc
@@ -11,8 +11,8 @@
 /** Oldest age at which a registration adds a row: gateways that have held the
  * row for longer are about to remove it. */
 constexpr Duration kMaxNewRowAge = 8_s;
-/** The end of a warm-up that moves by less is the same one, as heartbeats are
- * delayed. */
+/** A warm-up that ends earlier than stated before, by less than this, is no
+ * news, as heartbeats are delayed. */
 constexpr Duration kWarmUpJitter = 1_s;
 
 }  // namespace
@@ -83,13 +83,15 @@
   if (!IsNewer(target, entry.target_)) {
     return Change::kNone;
   }
-  const bool becomes_cold = target.warm_up_ > Duration() &&
-                            updated.warm_at_ > entry.warm_at_ + kWarmUpJitter;
+  // The digests do not cover warm-ups, so a lost message is made good by the
+  // next heartbeat: each one of a cold target is passed on.
+  const bool tells_warm_up =
+      passes_on_warm_ups_ &&
+      (updated.warm_at_ > now || entry.warm_at_ > now + kWarmUpJitter);
   const bool unchanged = entry.target_.state_ == target.state_ &&
                          entry.target_.start_ms_ == target.start_ms_ &&
                          entry.target_.address_ == target.address_ &&
-                         entry.target_.service_ == target.service_ &&
-                         !becomes_cold;
+                         entry.target_.service_ == target.service_;
   ToggleDigest(entry);
   if (entry.target_.address_ != target.address_) {
     ReleaseAddress(entry);
@@ -97,7 +99,7 @@
   entry = updated;
   ToggleDigest(entry);
   if (unchanged) {
-    return Change::kRefreshed;
+    return tells_warm_up ? Change::kWarmUp : Change::kRefreshed;
   }
   if (target.state_ != RegistrationState::kGone) {
     MarkPreviousOwnerGone(target);
@@ -269,6 +271,8 @@
   const DirectoryEntry& entry = entries_.at(id);
   TargetRegistration row = entry.target_;
   row.age_ = now - entry.last_heartbeat_;
+  // Heartbeats that came by way of other gateways state no warm-up.
+  row.warm_up_ = std::max(Duration(), entry.warm_at_ - entry.last_heartbeat_);
   return row;
 }
 
--- a/src/coordination/gateway/target_directory.h
+++ b/src/coordination/gateway/target_directory.h
@@ -36,10 +36,19 @@
     kNone,  ///< Ignored: it is older than the row, too old for a new row, or
             ///< a target that started later has the same address.
     kRefreshed,  ///< A heartbeat; only the sequence number is newer.
-    kChanged,    ///< The target is new, or its state, start, address or
-                 ///< service changed.
+    kWarmUp,     ///< A heartbeat that tells how long the target is cold; passed
+                 ///< on as kChanged is.
+    kChanged,    ///< The target is new, or its state, start, address or service
+                 ///< changed.
   };
 
+  /** @return True if other gateways have to be told of such a change. */
+  static bool IsPassedOn(Change change) {
+    return change == Change::kWarmUp || change == Change::kChanged;
+  }
+  /** Sets whether heartbeats of cold targets are passed on to all gateways. */
+  void SetPassesOnWarmUps(bool passes_on) { passes_on_warm_ups_ = passes_on; }
+
   /** Inserts or updates the row of a target from one registration. The age of
    * the registration counts from @p now backwards. */
   Change Merge(TimePoint now, const TargetRegistration& target);
@@ -141,6 +150,7 @@
   std::array<uint64_t, kParts> digests_{};  ///< Digest of each part.
   uint64_t changes_ = 0;
   std::set<DataCentreId> evacuated_;  ///< Not part of the digests.
+  bool passes_on_warm_ups_ = false;   ///< Targets can be cold.
 };
 
 }  // namespace gv
--- a/src/coordination/gateway/target_limits.cc
+++ b/src/coordination/gateway/target_limits.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace gv {
 namespace {
@@ -20,10 +21,21 @@
 /** An unchanged limit is reported again, in case a message was lost or the
  * leader is new. */
 constexpr Duration kReportPeriod = 1_s;
+/** Shares of a cold target's rate at which permits are given out. Permits are
+ * used some time after they are given; below 0.9 the sum of any second stays
+ * within the rate if that time varies by less than 110 ms. */
+constexpr double kColdShare = 0.75;
+constexpr double kLateColdShare = 0.9;
+/** Last part of the cold time, over which the share rises. */
+constexpr Duration kColdRise = 1_s;
 /** After a target is warm it gets this multiple of its cold rate for a while.
  */
 constexpr double kColdRampFactor = 2;
 constexpr Duration kColdRamp = 1_s;
+/** Permits of a cold target that accumulate beside one, in seconds of its rate.
+ * The leader places prompts every 50 ms; a smaller bucket would lose what
+ * accrues between. */
+constexpr double kColdBurstSeconds = 0.05;
 /** Latest return of a caller that was refused. */
 constexpr Duration kMaxReturn = 10_s;
 
@@ -49,17 +61,32 @@
   if (per_second) {
     per_second = std::clamp(*per_second, kLeastPerSecond, kMostPerSecond);
   }
+  // A named limit above that of a cold target has to be passed on as well.
+  const bool changed = state.named_ != per_second;
   state.named_ = per_second;
-  return SetLimit(now, state);
+  SetLimit(now, state);
+  return changed;
+}
+
+double TargetLimits::ColdRate(TimePoint now, const State& state) {
+  const Duration left = state.cold_until_ - now;
+  if (left <= Duration()) {
+    return *state.cold_ * kColdRampFactor;
+  }
+  const double risen =
+      1 - std::min(1.0, static_cast<double>(left.Ms()) /
+                            static_cast<double>(kColdRise.Ms()));
+  return *state.cold_ * (kColdShare + risen * (kLateColdShare - kColdShare));
 }
 
-bool TargetLimits::SetLimit(TimePoint now, State& state) {
+void TargetLimits::SetLimit(TimePoint now, State& state) {
   std::optional<double> per_second = state.named_;
   if (state.cold_) {
-    per_second = std::min(per_second.value_or(*state.cold_), *state.cold_);
+    const double cold = std::max(kLeastPerSecond, ColdRate(now, state));
+    per_second = std::min(per_second.value_or(cold), cold);
   }
   if (state.per_second_ == per_second) {
-    return false;
+    return;
   }
   if (state.per_second_ && per_second) {
     state.tokens_ = TokensAt(now, state);
@@ -70,39 +97,55 @@
   }
   state.filled_at_ = now;
   state.per_second_ = per_second;
-  return true;
 }
 
 void TargetLimits::SetCold(TimePoint now, const TargetId& target,
                            double per_second, TimePoint until) {
   if (until <= now) {
+    const auto found = states_.find(target);
+    if (found != states_.end() && found->second.cold_) {
+      found->second.cold_until_ = std::min(found->second.cold_until_, now);
+    }
     return;
   }
   State& state = states_[target];
   cold_count_ += state.cold_ ? 0 : 1;
   state.cold_ = std::clamp(per_second, kLeastPerSecond, kMostPerSecond);
   state.cold_until_ = until;
-  state.is_warming_ = false;
   SetLimit(now, state);
 }
 
-void TargetLimits::EndCold(TimePoint now) {
+std::vector<ColdChange> TargetLimits::AdvanceCold(TimePoint now) {
+  std::vector<ColdChange> changes;
   if (cold_count_ == 0) {
-    return;
+    return changes;
   }
   for (auto& [target, state] : states_) {
-    if (!state.cold_ || now < state.cold_until_) {
+    if (!state.cold_) {
       continue;
     }
+    const bool is_cold = now < state.cold_until_;
+    if (is_cold != std::exchange(state.is_cold_known_, is_cold)) {
+      changes.push_back({target, is_cold, *state.cold_,
+                         std::max(Duration(), state.cold_until_ - now)});
+    }
     if (now >= state.cold_until_ + kColdRamp) {
       state.cold_.reset();
       --cold_count_;
-    } else if (!state.is_warming_) {
-      state.cold_ = *state.cold_ * kColdRampFactor;
     }
-    state.is_warming_ = state.cold_.has_value();
     SetLimit(now, state);
   }
+  return changes;
+}
+
+size_t TargetLimits::ColdCount(TimePoint now) const {
+  if (cold_count_ == 0) {
+    return 0;
+  }
+  return static_cast<size_t>(
+      std::count_if(states_.begin(), states_.end(), [now](const auto& item) {
+        return item.second.cold_ && now < item.second.cold_until_;
+      }));
 }
 
 bool TargetLimits::OnNamed(TimePoint now, const TargetId& target,
@@ -148,7 +191,9 @@
 std::optional<TargetLimitRow> TargetLimits::Row(TimePoint now,
                                                 const TargetId& target) const {
   const auto found = states_.find(target);
-  if (found == states_.end()) {
+  // A target may have a state without ever having named a limit, as it is cold.
+  if (found == states_.end() ||
+      (!found->second.named_ && found->second.over_at_ == TimePoint())) {
     return std::nullopt;
   }
   const State& state = found->second;
@@ -157,6 +202,12 @@
                         now - (is_over ? state.over_at_ : state.heard_at_)};
 }
 
+TargetLimitRow TargetLimits::AskRow(TimePoint now,
+                                    const TargetId& target) const {
+  return Row(now, target)
+      .value_or(TargetLimitRow{target, 0, true, kNeverNamed});
+}
+
 bool TargetLimits::NeedsReport(TimePoint now, const TargetId& target) {
   const auto found = states_.find(target);
   if (found == states_.end() ||
@@ -178,8 +229,13 @@
   }
 }
 
+double TargetLimits::Burst(const State& state) {
+  return state.cold_ ? 1 + *state.per_second_ * kColdBurstSeconds
+                     : std::max(1.0, *state.per_second_ * kBurstSeconds);
+}
+
 double TargetLimits::TokensAt(TimePoint now, const State& state) const {
-  const double burst = std::max(1.0, *state.per_second_ * kBurstSeconds);
+  const double burst = Burst(state);
   const double gained = static_cast<double>((now - state.filled_at_).Ms()) /
                         kMsPerSecond * *state.per_second_;
   return std::min(burst, state.tokens_ + gained);
@@ -210,7 +266,10 @@
                                                        const TargetId& target,
                                                        Duration longest_wait) {
   const Duration wait = UntilPermit(now, target);
-  if (!granting_ || wait > std::min(longest_wait, kMaxPermitWait)) {
+  const State* state = FindLimited(target);
+  const Duration most =
+      state != nullptr && state->cold_ ? kMaxColdPermitWait : kMaxPermitWait;
+  if (!granting_ || wait > std::min(longest_wait, most)) {
     return std::nullopt;
   }
   TakePermit(now, target);
@@ -230,7 +289,8 @@
 }
 
 bool TargetLimits::KeepsOnePermit(const TargetId& target) const {
-  return PerSecond(target) * kBurstSeconds < 2;
+  const State* state = FindLimited(target);
+  return state == nullptr || (!state->cold_ && Burst(*state) < 2);
 }
 
 double TargetLimits::PerSecond(const TargetId& target) const {
--- a/src/coordination/gateway/target_limits.h
+++ b/src/coordination/gateway/target_limits.h
@@ -21,6 +21,28 @@
 /** Longest time ahead for which the leader gives a permit. A new leader does
  * not know of these permits. */
 inline constexpr Duration kMaxPermitWait = 500_ms;
+/** The same for cold targets. The permits of the last leader and those of the
+ * next one may fall into the same second; with 500 ms a cold target that takes
+ * more than ten requests a second could get more than 1.5 times that and five.
+ */
+inline constexpr Duration kMaxColdPermitWait = 200_ms;
+/** Age of a row that says nothing of a limit: the target never named one. */
+inline constexpr Duration kNeverNamed{int64_t{1} << 50};
+
+/** What a service says of its cold targets. */
+struct ColdBounds {
+  double per_second_ = 0;  ///< Requests that a cold target takes; above 0.
+  Duration start_;         ///< Cold time after a start that states none.
+  friend bool operator==(const ColdBounds&, const ColdBounds&) = default;
+};
+
+/** A target became cold, or is warm again. */
+struct ColdChange {
+  TargetId target_;        ///< Which.
+  bool is_cold_ = false;   ///< Whether it is cold now.
+  double per_second_ = 0;  ///< Requests per second while it is cold.
+  Duration left_;          ///< Until it is warm; zero if it is.
+};
 
 /**
  * Limits that targets name, and the permits for requests to these targets. A
@@ -48,17 +70,21 @@
    * limit of the target. */
   bool Merge(TimePoint now, const TargetLimitRow& row);
   /**
-   * A target is cold: it bears few requests until it is warm. It then counts as
-   * one that names a limit, or as one that names a lower one. After that time
-   * it gets twice the rate for a second, so that what waits for it does not
-   * arrive all at once.
+   * A target is cold until @p until and takes few requests until then. It
+   * counts as one that names a limit, or as one that names a lower limit: first
+   * 0.75 times @p per_second, which rises to 0.9 times in the last second. In
+   * the second after @p until it gets twice @p per_second, so that waiting
+   * requests do not all arrive at once. A time that has passed ends an earlier
+   * statement; for a target that is not cold it changes nothing.
    * @param per_second Requests per second of all gateways together; above 0.
-   * @param until When the target is warm.
    */
   void SetCold(TimePoint now, const TargetId& target, double per_second,
                TimePoint until);
-  /** Ends the limits of targets that are warm by now. */
-  void EndCold(TimePoint now);
+  /** Adapts the limits of cold targets to the time, and ends those of warm
+   * ones. @return Targets that became cold or warm since the last call. */
+  std::vector<ColdChange> AdvanceCold(TimePoint now);
+  /** @return Number of targets that are cold now. */
+  size_t ColdCount(TimePoint now) const;
   /** @return True if requests to @p target need a permit. */
   bool IsLimited(const TargetId& target) const;
   /** @return True if no target has a limit. */
@@ -67,6 +93,10 @@
    * never named a limit. */
   std::optional<TargetLimitRow> Row(TimePoint now,
                                     const TargetId& target) const;
+  /** @return The row for a request for a permit. If the target is limited only
+   * because it is cold, the row's age is kNeverNamed, which changes nothing at
+   * the leader. */
+  TargetLimitRow AskRow(TimePoint now, const TargetId& target) const;
   /** @return True if the leader was not told of the limit within the last
    * second; the caller tells it now. */
   bool NeedsReport(TimePoint now, const TargetId& target);
@@ -119,9 +149,10 @@
 
   struct State {
     std::optional<double> named_;  ///< By answers; empty if it is over.
-    std::optional<double> cold_;   ///< While the target is cold.
+    std::optional<double> cold_;   ///< Rate of the cold target; set until the
+                                   ///< second after cold_until_ is over.
     TimePoint cold_until_;         ///< When it is warm.
-    bool is_warming_ = false;      ///< cold_until_ is over, cold_ was raised.
+    bool is_cold_known_ = false;   ///< AdvanceCold() returned that it is cold.
     std::optional<double> per_second_;  ///< The lower one of both.
     TimePoint heard_at_;     ///< Receipt of the last answer that named it.
     TimePoint over_at_;      ///< Sending of the last request whose answer did
@@ -134,13 +165,18 @@
   };
 
   bool SetNamed(TimePoint now, State& state, std::optional<double> per_second);
-  bool SetLimit(TimePoint now, State& state);
+  void SetLimit(TimePoint now, State& state);
+  /** @return Requests per second that coldness allows now; above those of
+   * State::cold_ once the target is warm. */
+  static double ColdRate(TimePoint now, const State& state);
+  /** @return Permits that accumulate at most. */
+  static double Burst(const State& state);
   double TokensAt(TimePoint now, const State& state) const;
   const State* FindLimited(const TargetId& target) const;
 
   std::unordered_map<TargetId, State> states_;
   size_t limited_ = 0;     ///< States with a limit.
-  size_t cold_count_ = 0;  ///< States of cold targets.
+  size_t cold_count_ = 0;  ///< States whose cold_ is set.
   bool granting_ = false;  ///< This gateway gives out permits.
 };
 
--- a/src/state/event_type.h
+++ b/src/state/event_type.h
@@ -81,6 +81,8 @@
   kTargetLimitOver = 638,
   kLimitGranted = 639,
   kLimitRefused = 640,
+  kTargetCold = 652,
+  kTargetWarm = 653,
   kTargetSuspected = 620,
   kTargetTrusted = 621,
   kTargetPaused = 625,
--- a/src/state/routing_type.h
+++ b/src/state/routing_type.h
@@ -90,6 +90,9 @@
   /** Requests per second that a cold target bears; zero if none is ever cold.
    */
   double cold_per_second_ = 0;
+  /** Time for which a target is cold after its start, if it does not state it.
+   */
+  Duration cold_start_{};
   /** Ranks of the streams that the configuration allows, in rising order; set
    * by RoutingTable::Build. */
   std::vector<RankPause> ranks_{};
--- a/src/state/table/events.h
+++ b/src/state/table/events.h
@@ -19,7 +19,7 @@
   std::string_view meaning_;  ///< For people.
 };
 
-inline constexpr std::array<EventRow, 82> kEvents{{
+inline constexpr std::array<EventRow, 84> kEvents{{
     {EventId::kProcessStarted, "process-started", EventLevel::kInfo,
      "A process started with its roles."},
     {EventId::kProcessStopping, "process-stopping", EventLevel::kInfo,
@@ -160,6 +160,10 @@
      "A target named a limit of requests for all gateways together."},
     {EventId::kTargetLimitOver, "target-limit-over", EventLevel::kInfo,
      "A target does not name its limit any more."},
+    {EventId::kTargetCold, "target-cold", EventLevel::kInfo,
+     "A target is cold; it gets only the requests that the leader permits."},
+    {EventId::kTargetWarm, "target-warm", EventLevel::kInfo,
+     "A target is warm again; a second later it is not limited any more."},
     {EventId::kLimitGranted, "limit-granted", EventLevel::kDebug,
      "The leader permits a gateway one request to a target with a limit."},
     {EventId::kLimitRefused, "limit-refused", EventLevel::kInfo,
--- a/src/transport/gateway/gateway.cc
+++ b/src/transport/gateway/gateway.cc
@@ -256,7 +256,6 @@
   TickOrders(now);
   TickCrashProbes(now);
   TickLimitAsks(now);
-  TickColdTargets(now);
   scheduler_.OnTick(now);
   SendSchedulerReplies();
   ShareLoad(now);
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -262,6 +262,9 @@
   void OnReadiness(const HttpRequest& request,
                    const HttpService::Respond& done);
   void OnControl(const HttpRequest& request, HttpService::Respond done);
+  /** @return A registration whose warm-up can be judged by the registry. Logs a
+   * warm-up that is not usable. */
+  TargetRegistration CheckWarmUp(TargetRegistration target);
   void OnRegister(const std::string& id, const HttpRequest& request,
                   const HttpService::Respond& done);
   void OnDepart(const std::string& id, const HttpService::Respond& done);
@@ -293,8 +296,6 @@
 
   // gateway_limits.cc: permits for targets that name a limit.
   void OnLimitReply(const LimitReply& reply);
-  /** Limits requests to targets that say that they are cold. */
-  void TickColdTargets(TimePoint now);
   void TickLimitAsks(TimePoint now);
 
   // gateway_orders.cc: orders to targets.
--- a/src/transport/gateway/gateway_calls.cc
+++ b/src/transport/gateway/gateway_calls.cc
@@ -87,7 +87,7 @@
   }
   Outbox out(Endpoint{self_, Port::kControl});
   const std::optional<OperationId> leaving =
-      registry_.RegisterTarget(Now(), target.value(), out);
+      registry_.RegisterTarget(Now(), CheckWarmUp(target.value()), out);
   if (leaving) {
     AnswerWhenAccepted(*leaving, done);
   }
@@ -97,6 +97,30 @@
   }
 }
 
+TargetRegistration Gateway::CheckWarmUp(TargetRegistration target) {
+  if (target.warm_up_ == kUnreadableWarmUp) {
+    Event event;
+    event.id_ = EventId::kBadInput;
+    event.target_ = target.id_;
+    event.detail_ = "registration: the remaining cold time is not usable";
+    Record(event);
+    target.warm_up_ = kUnstatedWarmUp;
+  }
+  const Service* service =
+      table_ ? table_->FindService(target.service_) : nullptr;
+  if (target.warm_up_ == kUnstatedWarmUp && service != nullptr &&
+      registry_.Targets().Find(target.id_) == nullptr) {
+    // This gateway may be newer than the target. Starts that are older than
+    // this are over, whatever the difference between the two clocks.
+    constexpr Duration kClockDifference = 10_s;
+    const int64_t age_ms = WallMs() - static_cast<int64_t>(target.start_ms_);
+    if (age_ms > (service->cold_start_ + kClockDifference).Ms()) {
+      target.warm_up_ = Duration();
+    }
+  }
+  return target;
+}
+
 void Gateway::AnswerWhenAccepted(OperationId operation,
                                  const HttpService::Respond& done) {
   operations_[operation] = [done](const OperationResult& end) {
@@ -187,6 +211,7 @@
   set("lease", registry_.HasLease(Now()) ? 1 : 0);
   set("evacuated_data_centres",
       static_cast<double>(registry_.Evacuations().DataCentres().size()));
+  set("cold_targets", static_cast<double>(registry_.Limits().ColdCount(Now())));
   set("held_bytes", static_cast<double>(memory_.Total()));
   set("log_lines_dropped", static_cast<double>(log_.Dropped()));
   return prometheus::TextSerializer().Serialize(metrics_registry_.Collect());
--- a/src/transport/gateway/gateway_limits.cc
+++ b/src/transport/gateway/gateway_limits.cc
@@ -30,21 +30,6 @@
   CarryOut(out);
 }
 
-void Gateway::TickColdTargets(TimePoint now) {
-  TargetLimits& limits = registry_.Limits();
-  limits.EndCold(now);
-  if (!table_ || !table_->HasColdTargets()) {
-    return;
-  }
-  for (const auto& [id, entry] : registry_.Targets().All()) {
-    const Service* service = table_->FindService(entry.target_.service_);
-    if (entry.warm_at_ > now && service != nullptr &&
-        service->cold_per_second_ > 0) {
-      limits.SetCold(now, id, service->cold_per_second_, entry.warm_at_);
-    }
-  }
-}
-
 OperationId Gateway::AskForLimitPermit(
     const std::vector<TargetId>& targets, Duration longest_wait,
     std::function<void(const LimitReply&)> done) {
@@ -55,9 +40,7 @@
   ask.operation_ = operation;
   ask.longest_wait_ = longest_wait;
   for (const TargetId& target : targets) {
-    if (const auto row = registry_.Limits().Row(now, target)) {
-      ask.targets_.push_back(*row);
-    }
+    ask.targets_.push_back(registry_.Limits().AskRow(now, target));
   }
   limit_asks_[operation] =
       OpenLimitAsk{now + kLimitReplyTimeout, std::move(done)};
--- a/src/transport/gateway/gateway_registry.cc
+++ b/src/transport/gateway/gateway_registry.cc
@@ -156,6 +156,7 @@
     return;
   }
   table_ = std::move(table.value());
+  registry_.SetColdServices(Now(), table_->ColdServices());
 }
 
 void Gateway::FinishOperations() {
--- a/tests/support/limit_fleet.h
+++ b/tests/support/limit_fleet.h
@@ -21,6 +21,9 @@
 
   /** The target names @p per_second from now on, or none. */
   void Name(std::optional<double> per_second);
+  /** Targets of the service "model" can be cold. From now on gateways send
+   * nothing without a lease or before they know the target. */
+  void SetColdBounds(ColdBounds bounds);
   /** A request for the target arrives at each running gateway, which asks for a
    * permit if it knows of the limit. */
   void WantEach();
@@ -32,6 +35,9 @@
   void Kill(const std::string& gateway);
   RegistryGroup& Group() { return group_; }
   const LimitRule& Rule() const { return rule_; }
+  /** @return When requests arrived at the target, in order. */
+  const std::vector<TimePoint>& ArrivedAt() const { return arrived_at_; }
+  const TargetId& Target() const { return target_; }
   /** @return True if @p gateway knows of a limit. */
   bool IsLimited(const std::string& gateway);
 
@@ -49,6 +55,9 @@
     TimePoint asked_;
   };
 
+  /** @return True if a gateway may use the target at all. */
+  bool MaySend(const RegistryHost& host) const;
+  void ConfigureStarted();
   Duration Transit();
   void Send(const std::string& gateway, TimePoint at);
   void TakeReplies();
@@ -59,6 +68,9 @@
   RegistryGroup group_;
   std::optional<double> named_;
   LimitRule rule_;
+  std::map<std::string, ColdBounds> cold_services_;
+  std::map<std::string, uint64_t> configured_;  ///< Starts, by gateway.
+  std::vector<TimePoint> arrived_at_;
   std::multimap<TimePoint, Planned> arriving_;   ///< Requests at the target.
   std::multimap<TimePoint, Planned> answering_;  ///< Answers at gateways.
   std::map<OperationId, OpenAsk> open_;
