--- a/tests/cold_targets_test.cc
+++ b/tests/cold_targets_test.cc
@@ -17,19 +17,6 @@
 const TimePoint kStart(100000);
 constexpr Duration kStep = 50_ms;
 
-/** Takes all permits that @p limits has at @p now, also those ahead.
- * @param due Gets the times from which they may be used. */
-void TakeAll(TargetLimits& limits, TimePoint now, std::vector<TimePoint>& due) {
-  constexpr size_t kMost = 1000;  // Without a limit there is no end.
-  for (size_t i = 0; i < kMost; ++i) {
-    const auto wait = limits.TakePermitWithin(now, kTarget, 10_s);
-    if (!wait) {
-      return;
-    }
-    due.push_back(now + *wait);
-  }
-}
-
 TEST_CASE("cold targets: permits of any second stay within the cold rate") {
   // Guards against a target that crashes as its bucket is filled at more than
   // the rate or bursts; without coldness all of them are permitted at once.
@@ -77,8 +64,8 @@
         }
         // The bucket of the last leader is full shortly before it ends.
         if (now > kStart + change - 900_ms) {
-          TakeAll(last, now, due);
-          TakeAll(next, now, due);
+          TakeAllPermits(last, now, kTarget, due);
+          TakeAllPermits(next, now, kTarget, due);
         }
         REQUIRE(due.size() < 100000);
       }
@@ -107,6 +94,7 @@
   // row of a target that is only cold must not end it.
   TargetLimits cold;
   cold.SetCold(kStart, kTarget, 28, kStart + 10_s);
+  CHECK(cold.IsLimited(kTarget));
   CHECK_FALSE(cold.Row(kStart, kTarget));
   TargetLimits leader;
   leader.OnNamed(kStart, kTarget, 3);
@@ -315,7 +303,9 @@
   // the start.
   ColdRun run(10, 8);
   run.StartTarget(5_s);
-  run.Steps(20_s);
+  run.Steps(1_s);
+  CHECK(run.AllLimited());
+  run.Steps(19_s);
   run.Group().Add("e9", false);
   run.Steps(2_s);
   CHECK(run.Group().Core("e9").Targets().IsReady(run.Fleet().Target()));
@@ -332,6 +322,7 @@
   RegistryHost& host = run.Group().Host("e1");
   host.core_->Limits().SetCold(run.Group().NowOf(host), run.Fleet().Target(),
                                28, run.Group().NowOf(host) + 5_s);
+  CHECK(run.Fleet().IsLimited("e1"));
   CHECK_FALSE(run.Fleet().IsLimited(leader));
   run.Group().AskLeader(
       "e1", LimitAsk{OperationId(1),
--- a/tests/support/cold_run.h
+++ b/tests/support/cold_run.h
@@ -27,6 +27,22 @@
   return most;
 }
 
+/** Takes all permits for @p target that @p limits has at @p now, also those
+ * ahead.
+ * @param due Gets the times from which they may be used. */
+inline void TakeAllPermits(TargetLimits& limits, TimePoint now,
+                           const TargetId& target,
+                           std::vector<TimePoint>& due) {
+  constexpr size_t kMost = 1000;  // Without a limit there is no end.
+  for (size_t i = 0; i < kMost; ++i) {
+    const auto wait = limits.TakePermitWithin(now, target, 10_s);
+    if (!wait) {
+      return;
+    }
+    due.push_back(now + *wait);
+  }
+}
+
 /** A target that is cold at times and registers at random gateways, and the
  * gateways. */
 class ColdRun {
