--- a/src/state/process_settings.h
+++ b/src/state/process_settings.h
@@ -65,6 +65,7 @@
   std::vector<std::string> gateway_data_centres_;  ///< With targets.
   int64_t gateway_tolerated_losses_ = 0;  ///< Members that may be lost.
   int64_t gateway_revocation_ms_ = 0;     ///< Longest use of a revoked key.
+  int64_t gateway_evacuation_ms_ = 0;     ///< Until an order is obeyed.
   int64_t gateway_grace_ms_ = 0;          ///< Longest planned stop.
   double gateway_retry_ratio_ = 0;        ///< Repeats for each request.
   int64_t gateway_retry_window_ms_ = 0;   ///< In which repeats are counted.
--- a/src/state/table/process_settings.h
+++ b/src/state/table/process_settings.h
@@ -167,6 +167,11 @@
     ProcessKey{"gateway.revocation_ms", &P::gateway_revocation_ms_, "5000",
                N::kNobody, R::kAny, 1500, kDayMs, "ms",
                "Longest time for which a replaced configuration is used."},
+    ProcessKey{"gateway.evacuation_ms", &P::gateway_evacuation_ms_, "0",
+               N::kNobody, R::kAny, 0, kDayMs, "ms",
+               "Longest time until an acknowledged order to evacuate a data "
+               "centre is obeyed by all gateways; 0: that of "
+               "gateway.revocation_ms, and retries need no lease."},
     ProcessKey{"gateway.grace_ms", &P::gateway_grace_ms_, "8000", N::kNobody,
                R::kAny, 1000, kDayMs, "ms",
                "Longest planned stop of a gateway."},
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -70,7 +70,8 @@
 }
 
 bool Forward::MayUse(const Placement& placement) {
-  if (!gateway_.Registry().HasLease(gateway_.Now())) {
+  if (gateway_.SendsOnlyWithLease() &&
+      !gateway_.Registry().HasLease(gateway_.Now())) {
     // The newest evacuations may not be known here.
     FinishWithoutRetry(AttemptEnd{RunState::kNotRun, false}, "no-lease");
     return false;
--- a/src/transport/gateway/gateway.cc
+++ b/src/transport/gateway/gateway.cc
@@ -69,6 +69,11 @@
   registry.has_disk_ = !settings.data_folder_.empty();
   registry.tolerated_losses_ = settings.gateway_tolerated_losses_;
   registry.revocation_bound_ = Duration(settings.gateway_revocation_ms_);
+  if (settings.gateway_evacuation_ms_ > 0) {
+    // A lease ends before either bound, so it covers both.
+    registry.revocation_bound_ = std::min(
+        registry.revocation_bound_, Duration(settings.gateway_evacuation_ms_));
+  }
   registry.retries_.ratio_ = settings.gateway_retry_ratio_;
   registry.retries_.window_ = Duration(settings.gateway_retry_window_ms_);
   registry.retries_.slack_ = settings.gateway_retry_slack_;
@@ -256,7 +261,6 @@
   TickOrders(now);
   TickCrashProbes(now);
   TickLimitAsks(now);
-  TickColdTargets(now);
   scheduler_.OnTick(now);
   SendSchedulerReplies();
   ShareLoad(now);
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -77,6 +77,11 @@
     return patience_[route];
   }
   bool IsStopping() const { return stopping_; }
+  /** @return True if retries need a lease, too, as operators evacuate data
+   * centres within a bound. */
+  bool SendsOnlyWithLease() const {
+    return settings_.gateway_evacuation_ms_ > 0;
+  }
   /** @return Requests that wait for the lease of this gateway. */
   HeldWork& HeldRequests() { return held_requests_; }
   /** @return Size in bytes beyond which a whole answer is a failure. */
@@ -262,6 +267,9 @@
   void OnReadiness(const HttpRequest& request,
                    const HttpService::Respond& done);
   void OnControl(const HttpRequest& request, HttpService::Respond done);
+  /** @return A registration whose warm-up can be judged by the registry. Logs a
+   * warm-up that is not usable. */
+  TargetRegistration CheckWarmUp(TargetRegistration target);
   void OnRegister(const std::string& id, const HttpRequest& request,
                   const HttpService::Respond& done);
   void OnDepart(const std::string& id, const HttpService::Respond& done);
@@ -293,8 +301,6 @@
 
   // gateway_limits.cc: permits for targets that name a limit.
   void OnLimitReply(const LimitReply& reply);
-  /** Limits requests to targets that say that they are cold. */
-  void TickColdTargets(TimePoint now);
   void TickLimitAsks(TimePoint now);
 
   // gateway_orders.cc: orders to targets.
