Do not pass interrupted answers and invalid statuses on as answers

Cause: a failing write consumes the error of a reset, so the read after it sees an orderly end, and a part of an answer without a length passed for a whole one. Any status of three digits was taken as an answer.

Change: a body without a length is complete only at an orderly end, with no failed write, after the whole request or with an announced close. Statuses outside 200 to 599, and 101, break the exchange. A connection whose write failed or whose exchange broke is no longer reusable when its handler is told.

--- a/src/transport/gateway/target_connection.cc
+++ b/src/transport/gateway/target_connection.cc
@@ -1,7 +1,9 @@
 /** @file target_connection.cc Writes a request and parses its answer. */
 #include "transport/gateway/target_connection.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 
 #include "state/address_func.h"
 #include "transport/gateway/memory_keeper.h"
@@ -16,7 +18,24 @@
 /** Heads of 1xx before the answer; a sound target sends one or two. */
 constexpr int kMostInterimHeads = 8;
 constexpr unsigned kInformational = 100;
+constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kSuccess = 200;
+constexpr unsigned kGreatestStatus = 599;
+
+/** @return True if HTTP allows this status in reply to a forwarded request. No
+ * request asks for another protocol, so 101 is not allowed either. */
+bool IsAllowedStatus(unsigned status) {
+  return status >= kInformational && status <= kGreatestStatus &&
+         status != kSwitchingProtocols;
+}
+
+/** @return True if any Connection header has the option "close". */
+bool AnnouncesClose(const HttpFields& fields) {
+  const auto lines = fields.equal_range(http::field::connection);
+  return std::any_of(lines.first, lines.second, [](const auto& line) {
+    return http::token_list(line.value()).exists("close");
+  });
+}
 
 }  // namespace
 
@@ -72,6 +91,7 @@
   interim_heads_ = 0;
   unparsed_ = 0;
   reused_ = answered_;
+  write_failed_ = false;
   ResetParser();
   if (closed_) {
     asio::post(socket_.get_executor(), [self = shared_from_this()]() {
@@ -92,6 +112,8 @@
 }
 
 void TargetConnection::Break() {
+  // The handler may start another attempt; it must not get this connection.
+  keep_ = false;
   Finish(ExchangeEnd::kBroken);
   Close();
 }
@@ -104,6 +126,9 @@
   const size_t written = socket_.write_some(asio::buffer(request_), failed);
   if (!failed) {
     request_.erase(0, written);
+  } else if (failed != asio::error::would_block) {
+    OnWriteError();
+    return;
   }
   if (request_.empty()) {
     return;
@@ -114,11 +139,28 @@
       [self = shared_from_this()](boost::system::error_code error, size_t) {
         self->writing_ = false;
         self->request_.clear();
-        // A reset shows up in the read too, after the bytes before it.
-        static_cast<void>(error);
+        if (error) {
+          self->OnWriteError();
+        }
       });
 }
 
+void TargetConnection::OnWriteError() {
+  // The read ends the exchange, after the bytes that arrived before. A failing
+  // write consumes the socket's error, so that the read sees an orderly end
+  // where the target has reset the connection.
+  write_failed_ = true;
+  request_.clear();
+}
+
+bool TargetConnection::EndsWholeBody() const {
+  if (write_failed_) {
+    return false;
+  }
+  const bool is_request_sent = request_.empty() && !writing_;
+  return is_request_sent || AnnouncesClose(parser_->get().base());
+}
+
 void TargetConnection::Read() {
   if (closed_ || reading_ || paused_) {
     return;
@@ -177,7 +219,11 @@
     }
     if (parser_->is_header_done()) {
       const unsigned status = parser_->get().result_int();
-      if (status < kSuccess && status >= kInformational) {
+      if (!IsAllowedStatus(status)) {
+        Break();
+        return false;
+      }
+      if (status < kSuccess) {
         if (++interim_heads_ > kMostInterimHeads) {
           Break();
           return false;
@@ -224,8 +270,9 @@
 }
 
 void TargetConnection::Complete() {
-  // Bytes beyond the answer belong to no request.
-  if (!input_.empty() || writing_ || !parser_->keep_alive()) {
+  // Bytes beyond the answer belong to no request, and a connection whose write
+  // has failed takes no other one.
+  if (!input_.empty() || writing_ || write_failed_ || !parser_->keep_alive()) {
     keep_ = false;
   }
   answered_ = true;
@@ -240,15 +287,15 @@
     Close();
     return;
   }
+  keep_ = false;
   if (!parser_->is_header_done()) {
     Finish(ExchangeEnd::kClosed);
     Close();
     return;
   }
   boost::system::error_code bad;
-  if (error == asio::error::eof && parser_->need_eof()) {
+  if (error == asio::error::eof && parser_->need_eof() && EndsWholeBody()) {
     parser_->put_eof(bad);
-    keep_ = false;
     Finish(bad ? ExchangeEnd::kBroken : ExchangeEnd::kComplete);
   } else {
     Finish(ExchangeEnd::kBroken);
--- a/src/transport/gateway/target_connection.h
+++ b/src/transport/gateway/target_connection.h
@@ -26,7 +26,7 @@
   kComplete,      ///< The whole answer came.
   kNotConnected,  ///< No connection; nothing was sent.
   kClosed,        ///< Closed after sending, before any byte of an answer.
-  kBroken,        ///< The answer ended early or is no answer.
+  kBroken,        ///< The answer ended early or is not valid.
 };
 
 /** Who wants to know of an exchange. */
@@ -81,6 +81,10 @@
       boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   void Write();
+  void OnWriteError();
+  /** @return True if an orderly end of the connection completes a body that
+   * has no length. */
+  bool EndsWholeBody() const;
   void Read();
   void OnRead(size_t bytes);
   void NoteUnparsed();
@@ -106,16 +110,17 @@
   std::array<char, 8192> chunk_{};  ///< Of one read.
   TimePoint opened_;                ///< Start of the connecting.
   bool answered_ = false;           ///< An exchange was complete.
-  bool reused_ = false;       ///< answered_ at the start of this exchange.
-  int interim_heads_ = 0;     ///< Heads of 1xx before this answer.
-  bool connected_ = false;    ///< Ready to send.
-  bool writing_ = false;      ///< A write is in progress.
-  bool reading_ = false;      ///< A read is in progress.
-  bool paused_ = false;       ///< By SetPaused.
-  bool head_passed_ = false;  ///< Of this answer.
-  bool is_head_ = false;      ///< The answer has no body.
-  bool keep_ = true;          ///< The target keeps it open.
-  bool closed_ = false;       ///< At the end.
+  bool reused_ = false;        ///< answered_ at the start of this exchange.
+  int interim_heads_ = 0;      ///< Heads of 1xx before this answer.
+  bool connected_ = false;     ///< Ready to send.
+  bool writing_ = false;       ///< A write is in progress.
+  bool write_failed_ = false;  ///< In this exchange.
+  bool reading_ = false;       ///< A read is in progress.
+  bool paused_ = false;        ///< By SetPaused.
+  bool head_passed_ = false;   ///< Of this answer.
+  bool is_head_ = false;       ///< The answer has no body.
+  bool keep_ = true;           ///< The target keeps it open.
+  bool closed_ = false;        ///< At the end.
 };
 
 }  // namespace gv
