Bound memory and descriptors that untrusted clients can hold

Cause: answers that a client did not read, heads of the service listeners and connections were not counted, and requests were read on while answers waited: 10 connections with requests in a row took VmHWM up by 13,384 kB (768 KiB of requests each) and 26,756 kB (1.5 MiB) at gateway.memory_mb 64, where a fifth, 13,107 kB, may be held.

--- a/src/state/event_type.h
+++ b/src/state/event_type.h
@@ -61,6 +61,7 @@
   kEvacuationEnded = 609,
   kEvacuationsInForce = 650,
   kEvacuationRefused = 651,
+  kConnectionsClosed = 654,
   kForwardAdmitted = 610,
   kForwardRefused = 611,
   kForwardSent = 612,
--- a/src/state/process_settings.h
+++ b/src/state/process_settings.h
@@ -73,8 +73,9 @@
   int64_t gateway_answer_bytes_ = 0;      ///< Largest whole answer.
   int64_t gateway_event_bytes_ = 0;       ///< Largest event of a stream.
   int64_t gateway_memory_mb_ = 0;  ///< Memory of the process; 0: the machine's.
-  int64_t stop_announce_ms_ = 0;   ///< Not ready for so long before a stop.
-  int64_t stop_grace_ms_ = 0;      ///< Longest planned stop.
+  int64_t gateway_max_descriptors_ = 0;  ///< Of files and sockets; 0: system's.
+  int64_t stop_announce_ms_ = 0;  ///< Not ready for so long before a stop.
+  int64_t stop_grace_ms_ = 0;     ///< Longest planned stop.
 
   /** @return True if the process has this role. Thread safety: const. */
   bool HasRole(std::string_view role) const;
--- a/src/state/table/events.h
+++ b/src/state/table/events.h
@@ -19,7 +19,7 @@
   std::string_view meaning_;  ///< For people.
 };
 
-inline constexpr std::array<EventRow, 84> kEvents{{
+inline constexpr std::array<EventRow, 85> kEvents{{
     {EventId::kProcessStarted, "process-started", EventLevel::kInfo,
      "A process started with its roles."},
     {EventId::kProcessStopping, "process-stopping", EventLevel::kInfo,
@@ -125,6 +125,9 @@
      "A gateway sends nothing more to the targets of these data centres."},
     {EventId::kEvacuationRefused, "evacuation-refused", EventLevel::kWarning,
      "An order names a data centre that is malformed or unknown."},
+    {EventId::kConnectionsClosed, "connections-closed", EventLevel::kWarning,
+     "Connections were closed or not accepted, as too few descriptors are "
+     "left; with their numbers since the last line."},
     {EventId::kForwardAdmitted, "forward-admitted", EventLevel::kDebug,
      "A gateway took a request in."},
     {EventId::kForwardRefused, "forward-refused", EventLevel::kInfo,
--- a/src/state/table/process_settings.h
+++ b/src/state/table/process_settings.h
@@ -196,6 +196,11 @@
                R::kAny, 0, 1 << 20, "MB",
                "Memory that the process may use; 0 for that of the machine. A "
                "fifth of it may hold requests and answers."},
+    ProcessKey{"gateway.max_descriptors", &P::gateway_max_descriptors_, "0",
+               N::kNobody, R::kAny, 0, 1 << 20, "descriptors",
+               "File descriptors that the process may open; 0 for the limit "
+               "of the system. 200 of them are for files, two fifths of the "
+               "rest for callers, a twentieth for each other listener."},
     ProcessKey{"stop.announce_ms", &P::stop_announce_ms_, "3000", N::kNobody,
                R::kAny, 0, 600000, "ms",
                "An entry that stops serves on for so long while /readyz says "
--- a/src/transport/gateway/caller_connection.cc
+++ b/src/transport/gateway/caller_connection.cc
@@ -1,7 +1,8 @@
 /** @file caller_connection.cc Parses requests and writes answers. */
 #include "transport/gateway/caller_connection.h"
 
-#include <boost/asio/write.hpp>
+#include <algorithm>
+#include <array>
 #include <boost/beast/http/status.hpp>
 
 #include "coordination/gateway/held_memory.h"
@@ -15,7 +16,15 @@
 namespace http = boost::beast::http;
 
 /** Bytes of later requests that are read while one is in progress. */
-constexpr size_t kMostPipelined = 64UL << 10;
+constexpr size_t kMostPipelined = 32UL << 10;
+/** Unsent bytes of answers beyond which no further request is taken. Answers to
+ * requests in a row were kept for callers that read none of them. */
+constexpr size_t kMostUnsent = 16UL << 10;
+/** Memory of a connection without its buffers, with that of the system's event
+ * queue. */
+constexpr size_t kConnectionBytes = 4UL << 10;
+/** Bytes of one read. */
+constexpr size_t kReadBytes = 8192;
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kTooLarge = 413;
@@ -36,37 +45,94 @@
     : socket_(std::move(socket)),
       bounds_(bounds),
       now_(now),
-      idle_since_(now) {}
+      idle_since_(now),
+      heard_at_(now),
+      taken_at_(now) {}
 
 void GatewayCaller::Start(GatewayCallerHooks hooks) {
   hooks_ = std::move(hooks);
   boost::system::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
   socket_.non_blocking(true, ignored);
+  NoteHeld();
+  Read();
+}
+
+bool GatewayCaller::MayTakeRequest() const {
+  return !closed_ && !busy_ && !close_after_ && Unsent() <= kMostUnsent;
+}
+
+bool GatewayCaller::IsIdle() const {
+  return !closed_ && !busy_ && Unsent() == 0 &&
+         !(parser_ && parser_->is_header_done());
+}
+
+void GatewayCaller::ResumeReading() { Read(); }
+
+void GatewayCaller::PostContinue() {
+  if (closed_ || continuing_) {
+    return;
+  }
+  continuing_ = true;
+  asio::post(socket_.get_executor(),
+             [self = shared_from_this()]() { self->Continue(); });
+}
+
+void GatewayCaller::Continue() {
+  continuing_ = false;
+  if (MayTakeRequest()) {
+    Parse();
+  }
+  NoteHeld();
   Read();
 }
 
 void GatewayCaller::Read() {
-  if (closed_ || input_.size() > kMostPipelined) {
+  const size_t most =
+      std::max(kMostPipelined, static_cast<size_t>(bounds_.header_bytes_));
+  if (closed_ || reading_ || input_.size() > most ||
+      (!busy_ && Unsent() > kMostUnsent) || !hooks_.may_read_()) {
     return;
   }
-  socket_.async_read_some(asio::buffer(chunk_),
-                          [self = shared_from_this()](
-                              boost::system::error_code error, size_t bytes) {
-                            if (self->closed_) {
-                              return;
-                            }
-                            if (error) {
-                              self->Close();
-                              return;
-                            }
-                            self->OnRead(bytes);
-                          });
+  reading_ = true;
+  // Bytes are read once they are there, as a buffer for each idle connection
+  // would take most of the memory of a small machine.
+  socket_.async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [self = shared_from_this()](boost::system::error_code error) {
+        self->reading_ = false;
+        if (self->closed_) {
+          return;
+        }
+        if (error) {
+          self->Close();
+          return;
+        }
+        self->OnReadable();
+      });
 }
 
-void GatewayCaller::OnRead(size_t bytes) {
-  input_.append(chunk_.data(), bytes);
-  if (!busy_ && !close_after_) {
+void GatewayCaller::OnReadable() {
+  static thread_local std::array<char, kReadBytes> chunk;
+  boost::system::error_code error;
+  const size_t bytes = socket_.read_some(asio::buffer(chunk), error);
+  if (error == asio::error::would_block) {
+    Read();
+  } else if (error) {
+    Close();
+  } else {
+    OnRead({chunk.data(), bytes});
+  }
+}
+
+void GatewayCaller::OnRead(std::string_view bytes) {
+  heard_at_ = now_;
+  // After the last request of a connection, bytes are only taken off the
+  // socket.
+  if (!close_after_ || busy_) {
+    input_ += bytes;
+  }
+  if (MayTakeRequest()) {
     Parse();
   }
   NoteHeld();
@@ -80,7 +146,8 @@
   ShrinkIfEmpty(input_);
   ShrinkIfEmpty(output_);
   ShrinkIfEmpty(sending_);
-  hooks_.held_(input_.capacity() + output_.capacity() + sending_.capacity() +
+  hooks_.held_(kConnectionBytes + head_bytes_ + input_.capacity() +
+               output_.capacity() + sending_.capacity() +
                (parser_ ? parser_->get().body().capacity() : 0));
 }
 
@@ -92,7 +159,12 @@
     BreakOff();
     return;
   }
+  if (IsIdle() && input_.empty()) {
+    Close();
+    return;
+  }
   parser_.reset();
+  head_bytes_ = 0;
   input_.clear();
   HttpFields fields;
   SetRetryAfter(kRetryAfterMemory, fields);
@@ -109,8 +181,12 @@
       continued_ = false;
     }
     boost::system::error_code error;
+    const bool is_head = !parser_->is_header_done();
     const size_t used = parser_->put(asio::buffer(input_), error);
     input_.erase(0, used);
+    if (is_head) {
+      head_bytes_ += std::min(used, static_cast<size_t>(bounds_.header_bytes_));
+    }
     if (error && error != http::error::need_more) {
       Refuse(error == http::error::header_limit ? kHeaderTooLarge
              : error == http::error::body_limit ? kTooLarge
@@ -123,6 +199,7 @@
       close_after_ = close_after_ || !parser_->get().keep_alive();
       CallerRequestMessage request = parser_->release();
       parser_.reset();
+      head_bytes_ = 0;
       hooks_.request_(std::move(request));
       return;
     }
@@ -205,16 +282,15 @@
     asio::post(socket_.get_executor(),
                [self = shared_from_this()]() { self->Write(); });
   }
-  if (!close_after_ && !input_.empty()) {
-    asio::post(socket_.get_executor(), [self = shared_from_this()]() {
-      if (!self->closed_ && !self->busy_ && !self->close_after_) {
-        self->Parse();
-      }
-    });
+  if (!close_after_ && (!input_.empty() || !reading_)) {
+    PostContinue();
   }
 }
 
 void GatewayCaller::Send(std::string_view text) {
+  if (Unsent() == 0) {
+    taken_at_ = now_;
+  }
   output_ += text;
   Write();
   NoteHeld();
@@ -236,16 +312,30 @@
     return;
   }
   sending_.swap(output_);
-  asio::async_write(
-      socket_, asio::buffer(sending_),
-      [self = shared_from_this()](boost::system::error_code error, size_t) {
+  sent_ = 0;
+  WriteRest();
+}
+
+void GatewayCaller::WriteRest() {
+  socket_.async_write_some(
+      asio::buffer(sending_) + sent_,
+      [self = shared_from_this()](boost::system::error_code error,
+                                  size_t bytes) {
+        self->taken_at_ = self->now_;
+        self->sent_ += bytes;
+        if (!error && !self->closed_ && self->sent_ < self->sending_.size()) {
+          self->WriteRest();
+          return;
+        }
         self->sending_.clear();
+        self->sent_ = 0;
         self->NoteHeld();
         if (error) {
           self->Close();
           return;
         }
         self->Write();
+        self->PostContinue();
       });
 }
 
@@ -279,14 +369,24 @@
 
 void GatewayCaller::OnTick(TimePoint now) {
   now_ = now;
-  if (busy_ || closed_) {
+  if (closed_) {
+    return;
+  }
+  // Two idle times, as a slow caller may let its buffers empty before it reads
+  // on.
+  if (Unsent() > 0 &&
+      now - taken_at_ > bounds_.idle_time_ + bounds_.idle_time_) {
+    Close();
+    return;
+  }
+  if (busy_) {
     return;
   }
   // A request that is being read gets the time of a header from its start on;
   // the start is not known exactly, so the idle time is added.
   const Duration most =
       parser_ ? bounds_.idle_time_ + bounds_.header_time_ : bounds_.idle_time_;
-  if (now - idle_since_ > most) {
+  if (Unsent() == 0 && now - idle_since_ > most) {
     Close();
   }
 }
--- a/src/transport/gateway/caller_connection.h
+++ b/src/transport/gateway/caller_connection.h
@@ -2,7 +2,6 @@
  * writes answers, whole or part by part. */
 #pragma once
 
-#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -39,11 +38,14 @@
   std::function<void()> closed_;
   /** The bytes that the connection holds have changed. */
   std::function<void(size_t)> held_;
+  /** @return True if memory is left for one more read. */
+  std::function<bool()> may_read_;
 };
 
 /**
  * Reads on while a request is in progress, to see at once that the caller has
- * gone. Thread safety: owned by one thread.
+ * gone. Takes no further request while the caller leaves answers unread, so
+ * what one connection holds is bounded. Thread safety: owned by one thread.
  */
 class GatewayCaller : public std::enable_shared_from_this<GatewayCaller> {
  public:
@@ -65,29 +67,44 @@
   /** Gives back memory: refuses the request that is being read, or closes a
    * connection whose caller does not take its answer. */
   void EndForMemory();
+  /** Closes an idle connection to free its descriptor. @pre IsIdle(). */
+  void CloseForRoom() { Close(); }
   /** Closes the connection if no request is in progress. */
   void CloseIfIdle();
-  /** Closes a connection that is idle, or slow with a header, for too long. */
+  /** Closes a connection that is idle, slow with a header, or takes nothing of
+   * its answer, for too long. */
   void OnTick(TimePoint now);
+  /** Reads on if reading was put off for lack of memory. */
+  void ResumeReading();
   /** Sets the time of what happens next. */
   void SetNow(TimePoint now) { now_ = now; }
 
   /** @return Bytes that the caller has not taken yet. */
-  size_t Unsent() const { return output_.size() + sending_.size(); }
+  size_t Unsent() const { return output_.size() + sending_.size() - sent_; }
   bool IsClosed() const { return closed_; }
   bool IsBusy() const { return busy_; }
+  /** @return True if no request would be lost by closing: none is in progress,
+   * no answer is unsent and the head of the next one is not complete. */
+  bool IsIdle() const;
+  /** @return When bytes last came from the caller, or the connection began. */
+  TimePoint HeardAt() const { return heard_at_; }
 
  private:
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   void Read();
-  void OnRead(size_t bytes);
+  void OnReadable();
+  void OnRead(std::string_view bytes);
+  bool MayTakeRequest() const;
+  void Continue();
+  void PostContinue();
   void Parse();
   void Refuse(unsigned status, const HttpFields& fields = {});
   void NoteHeld();
   void Send(std::string_view text);
   void Write();
+  void WriteRest();
   bool WriteNow();
   void FinishAnswer();
   void Close();
@@ -100,9 +117,14 @@
   std::string input_;                    ///< Read, not yet parsed.
   std::string output_;                   ///< To be written next.
   std::string sending_;                  ///< Being written.
-  std::array<char, 8192> chunk_{};       ///< Of one read.
+  size_t sent_ = 0;                      ///< Bytes of sending_ so far.
   TimePoint now_;                        ///< Set by the owner.
   TimePoint idle_since_;                 ///< Begin of waiting for a request.
+  TimePoint heard_at_;                   ///< Last bytes of the caller.
+  TimePoint taken_at_;                   ///< The caller took bytes last.
+  size_t head_bytes_ = 0;                ///< Read into parser_ as a head.
+  bool reading_ = false;                 ///< A read is in progress.
+  bool continuing_ = false;              ///< Continue() is about to run.
   bool busy_ = false;                    ///< A request is in progress.
   bool head_only_ = false;               ///< The request wants no body.
   bool close_after_ = false;             ///< Close once all is written.
--- a/src/transport/gateway/forward.cc
+++ b/src/transport/gateway/forward.cc
@@ -23,6 +23,8 @@
 /** Retry-After of a gateway that is stopping; other gateways can accept the
  * request immediately. */
 constexpr Duration kOtherGatewayRetry = 20_ms;
+/** Memory of one header field besides its text. */
+constexpr size_t kFieldOverheadBytes = 64;
 /** Deadline of a caller that names none, while no route is known. */
 constexpr Duration kUnknownDeadline = 5_s;
 /** Memory of a waiting request and its connection besides the body. */
@@ -43,6 +45,10 @@
       events_(facts_.last_event_) {}
 
 void Forward::Start() {
+  for (const auto& field : request_) {
+    head_bytes_ +=
+        field.name_string().size() + field.value().size() + kFieldOverheadBytes;
+  }
   NoteMemory();
   if (gateway_.AcceptsRequests() && !CanAdmit()) {
     HoldOrRefuse();
@@ -81,10 +87,11 @@
 }
 
 void Forward::NoteMemory() {
-  size_t bytes = request_.body().capacity() + events_.PartialEventBytes();
+  size_t bytes = kRequestOverheadBytes + head_bytes_ +
+                 request_.body().capacity() + events_.PartialEventBytes();
   if (attempt_) {
     // The connection holds the request as it is sent.
-    bytes += request_.body().size() + attempt_->body_.capacity() +
+    bytes += head_bytes_ + request_.body().size() + attempt_->body_.capacity() +
              attempt_->unparsed_bytes_;
   }
   if (target_failure_) {
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -231,6 +231,7 @@
 
   Gateway& gateway_;  ///< Gateway that received the request.
   std::shared_ptr<GatewayCaller> caller_;  ///< Connection that gets the answer.
+  size_t head_bytes_ = 0;                  ///< Of the request, about.
   CallerRequestMessage request_;           ///< Request as received.
   MemoryHolder memory_;                    ///< Counts what it holds.
   CallerFacts facts_;  ///< Facts from the header of the request.
--- a/src/transport/gateway/gateway.cc
+++ b/src/transport/gateway/gateway.cc
@@ -1,7 +1,6 @@
 /** @file gateway.cc Start, tick and planned stop of a gateway. */
 #include "transport/gateway/gateway.h"
 
-#include <sys/sysinfo.h>
 #include <unistd.h>
 #include <xxhash.h>
 
@@ -10,6 +9,7 @@
 #include <csignal>
 #include <iostream>
 
+#include "transport/gateway/process_limits.h"
 #include "transport/listen.h"
 #include "transport/process_settings_file.h"
 #include "transport/secret.h"
@@ -35,23 +35,8 @@
 /** Before the exit, what is left gets a final answer and time to be sent. */
 constexpr Duration kFinalAnswers = 150_ms;
 constexpr int kExitStartFailed = 1;
-/** Part of the memory that requests, answers and connections may hold. The rest
- * is for the program, its tables, the log and the system's socket buffers. */
-constexpr size_t kMemoryDivisor = 5;
 /** Part of what may be held that is for the queue of one peer. */
 constexpr size_t kPeerQueueDivisor = 4;
-constexpr size_t kMegabyte = 1UL << 20;
-
-/** @return Bytes that requests, answers and connections may hold together. */
-size_t MemoryLimit(const ProcessSettings& settings) {
-  const auto set = static_cast<size_t>(settings.gateway_memory_mb_);
-  struct sysinfo machine {};
-  if (set == 0 && ::sysinfo(&machine) == 0) {
-    return machine.totalram * machine.mem_unit / kMemoryDivisor;
-  }
-  constexpr size_t kUnknownMachine = 256;
-  return (set > 0 ? set : kUnknownMachine) * kMegabyte / kMemoryDivisor;
-}
 
 /** @return A number that ids of operations count up from half of. They must
  * differ from those before a restart, as answers to these may still arrive and
@@ -105,6 +90,7 @@
       memory_(io_, MemoryLimit(settings_),
               [this](const ExcessHolder& excess) { OnMemoryExcess(excess); }),
       io_(1),
+      shares_(ShareDescriptors(DescriptorLimit(settings_))),
       self_(settings_.listen_peers_),
       log_(log, settings_.node_),
       registry_(MakeRegistrySettings(settings_)),
@@ -114,16 +100,17 @@
       pool_(io_),
       reopen_disk_(TimePoint::Never()),
       acceptor_(io_),
+      accept_again_(io_),
       readiness_(
-          io_, memory_,
+          io_, memory_, shares_.service_,
           [this](const HttpRequest& request, const HttpService::Respond& done) {
             OnReadiness(request, done);
           }),
-      control_(io_, memory_,
+      control_(io_, memory_, shares_.service_,
                [this](const HttpRequest& request, HttpService::Respond done) {
                  OnControl(request, std::move(done));
                }),
-      metrics_(io_, memory_,
+      metrics_(io_, memory_, shares_.service_,
                [this](const HttpRequest& /*request*/,
                       const HttpService::Respond& done) {
                  done(MakeReply(200, "text/plain", MetricsText()));
@@ -157,7 +144,7 @@
   peers_ = std::make_unique<PeerNetwork>(
       io_, PeerIdentity{self_, settings_.cluster_, key},
       [this](Envelope envelope) { OnPeerEnvelope(std::move(envelope)); },
-      memory_.Limit() / kPeerQueueDivisor);
+      memory_.Limit() / kPeerQueueDivisor, shares_.unproven_);
   if (!settings_.data_folder_.empty()) {
     const Result<void> opened = OpenDisk();
     if (!opened.has_value()) {
@@ -180,64 +167,6 @@
   return boost::outcome_v2::success();
 }
 
-void Gateway::AcceptCallers() {
-  acceptor_.async_accept(
-      [this](boost::system::error_code error, asio::ip::tcp::socket socket) {
-        if (error == asio::error::operation_aborted || !acceptor_.is_open()) {
-          return;
-        }
-        // First, as an error while this caller is set up must not end the
-        // accepting.
-        AcceptCallers();
-        if (!error) {
-          OnCaller(std::move(socket));
-        }
-      });
-}
-
-void Gateway::OnCaller(asio::ip::tcp::socket socket) {
-  const uint64_t id = ++last_caller_;
-  const GatewayBounds bounds =
-      table_ ? table_->Configuration().bounds_ : GatewayBounds();
-  auto caller =
-      std::make_shared<GatewayCaller>(std::move(socket), bounds, Now());
-  callers_[id] = caller;
-  auto current = std::make_shared<std::weak_ptr<Forward>>();
-  std::weak_ptr<GatewayCaller> weak = caller;
-  auto holder =
-      std::make_shared<MemoryHolder>(memory_, HolderKind::kCaller, [weak]() {
-        if (const auto connection = weak.lock()) {
-          connection->EndForMemory();
-        }
-      });
-  caller->Start(GatewayCallerHooks{
-      [this, weak, current](CallerRequestMessage request) {
-        auto connection = weak.lock();
-        connection->SetNow(Now());
-        auto forward =
-            std::make_shared<Forward>(*this, connection, std::move(request));
-        forwards_[forward.get()] = forward;
-        *current = forward;
-        forward->Start();
-      },
-      [current]() {
-        if (auto forward = current->lock()) {
-          forward->OnCallerGone();
-        }
-      },
-      [this, id]() { callers_.erase(id); },
-      [holder](size_t bytes) { holder->Set(bytes); }});
-}
-
-void Gateway::OnMemoryExcess(const ExcessHolder& excess) {
-  Record(EventId::kMemoryExceeded,
-         "holder=" + std::string(NameOf(kHolderKindNames, excess.kind_)) +
-             " id=" + std::to_string(excess.id_.Value()) +
-             " bytes=" + std::to_string(excess.bytes_) +
-             " all_bytes=" + std::to_string(excess.all_bytes_) +
-             " limit=" + std::to_string(memory_.Limit()));
-}
-
 void Gateway::OnForwardEnded(const Forward& forward) {
   forwards_.erase(&forward);
 }
@@ -277,14 +206,13 @@
     pool_.OnTick(now);
     ledger_.RemoveOldReports(now, 2_s);
     scheduler_.RemoveLostGateways(now, ledger_, self_);
-    std::vector<std::shared_ptr<GatewayCaller>> callers;
-    for (const auto& [id, caller] : callers_) {
-      callers.push_back(caller);
-    }
-    for (const auto& caller : callers) {
-      caller->OnTick(now);
-    }
+    TickCallers(now);
+    readiness_.OnTick(now);
+    control_.OnTick(now);
+    metrics_.OnTick(now);
+    ReportClosings();
   }
+  ResumeReading();
   log_.Flush(now);
   CheckStop(now);
 }
@@ -408,7 +336,8 @@
          "roles=gateway self=" + self_.Value() +
              " disk=" + (disk_ ? "yes" : "no") +
              " seeds=" + std::to_string(settings_.gateway_seeds_.size()) +
-             " memory_limit=" + std::to_string(memory_.Limit()));
+             " memory_limit=" + std::to_string(memory_.Limit()) +
+             " most_callers=" + std::to_string(shares_.callers_));
   log_.Flush(Now());
   WaitForSignals();
   ScheduleTick();
@@ -426,6 +355,7 @@
               << ": roles: this binary has no wire codec for gateways\n";
     return kExitStartFailed;
   }
+  ReturnFreedMemory();
   Gateway gateway(settings, settings_file, *codec, STDOUT_FILENO);
   const Result<void> opened = gateway.Open();
   if (!opened.has_value()) {
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -31,6 +31,7 @@
 #include "transport/gateway/http_service.h"
 #include "transport/gateway/line_log.h"
 #include "transport/gateway/memory_keeper.h"
+#include "transport/gateway/process_limits.h"
 #include "transport/gateway/target_pool.h"
 #include "transport/gateway/wire_codec.h"
 #include "transport/peer_network.h"
@@ -237,8 +238,20 @@
   Result<void> OpenDisk();
   Result<void> OpenListeners();
   void RunEvents();
+
+  // gateway_callers.cc: connections of callers.
   void AcceptCallers();
+  /** Closes an idle connection if callers have no descriptor left. @return
+   * False if there is none. */
+  bool MakeRoomForCaller();
   void OnCaller(boost::asio::ip::tcp::socket socket);
+  /** @return A copy, as connections may close while it is walked through. */
+  std::vector<std::shared_ptr<GatewayCaller>> OpenCallers() const;
+  void TickCallers(TimePoint now);
+  void ResumeReading();
+  /** Logs one line for all closings since the last call, if any. */
+  void ReportClosings();
+
   void ScheduleTick();
   void OnTick();
   void TickRequests(TimePoint now);
@@ -313,6 +326,7 @@
   const WireCodec& codec_;             ///< Of the surroundings.
   MemoryKeeper memory_;                ///< Outlives what waits in io_.
   boost::asio::io_context io_;         ///< Runs everything.
+  DescriptorShares shares_;            ///< Connections by listener.
   NodeId self_;                        ///< Address for peers.
   LineLog log_;                        ///< Standard output.
   RegistryCore registry_;              ///< What all gateways share.
@@ -337,6 +351,7 @@
   TimePoint reopen_disk_;           ///< When to try again; Never if open.
 
   boost::asio::ip::tcp::acceptor acceptor_;  ///< For callers.
+  boost::asio::steady_timer accept_again_;   ///< After a failed accept.
   HttpService readiness_;                    ///< For the balancer.
   HttpService control_;                      ///< For targets and operators.
   HttpService metrics_;                      ///< For monitoring.
@@ -345,7 +360,10 @@
 
   uint64_t last_caller_ = 0;  ///< For ids of connections.
   std::unordered_map<uint64_t, std::shared_ptr<GatewayCaller>>
-      callers_;  ///< Open connections.
+      callers_;                   ///< Open connections.
+  bool reading_put_off_ = false;  ///< Some caller waits for memory.
+  uint64_t closed_callers_ = 0;   ///< For descriptors, since the last report.
+  uint64_t failed_accepts_ = 0;   ///< Since the last report.
   std::unordered_map<const Forward*, std::shared_ptr<Forward>>
       forwards_;  ///< Requests in progress.
   std::map<OperationId, std::function<void(const OperationResult&)>>
--- a/src/transport/gateway/http_service.cc
+++ b/src/transport/gateway/http_service.cc
@@ -4,15 +4,14 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-#include <memory>
 #include <optional>
 
 #include "transport/listen.h"
+#include "transport/steady_clock.h"
 
 namespace gv {
 namespace {
@@ -24,6 +23,15 @@
 /** A configuration of thousands of routes fits. */
 constexpr uint64_t kMostBodyBytes = 16UL << 20;
 
+/** Pause after a failed accept. */
+constexpr std::chrono::milliseconds kAcceptPause{50};
+/** Monitoring asks once a minute at least, balancers and targets more often. */
+constexpr Duration kMostIdle = 90_s;
+/** For one request from its first byte on, or for one answer. */
+constexpr Duration kMostTransfer = 30_s;
+/** Memory of a connection: coroutine, parser with a whole head. */
+constexpr size_t kConnectionBytes = 16UL << 10;
+
 /** Where a late answer meets the coroutine that waits for it. */
 struct Pending {
   explicit Pending(const asio::any_io_executor& executor) : timer_(executor) {}
@@ -52,14 +60,68 @@
         if (error == asio::error::operation_aborted || !acceptor_.is_open()) {
           return;
         }
-        if (!error) {
-          asio::co_spawn(io_, Serve(std::move(socket)), asio::detached);
+        if (error) {
+          ++closed_;
+          accept_again_.expires_after(kAcceptPause);
+          accept_again_.async_wait([this](boost::system::error_code stopped) {
+            if (!stopped) {
+              Accept();
+            }
+          });
+          return;
+        }
+        if (MakeRoom()) {
+          // Counted here, as its coroutine starts only after further accepts.
+          auto connection = std::make_shared<Connection>(std::move(socket));
+          connection->since_ = BootNow();
+          connections_->insert(connection);
+          asio::co_spawn(io_, Serve(std::move(connection)), asio::detached);
         }
         Accept();
       });
 }
 
-asio::awaitable<void> HttpService::Serve(asio::ip::tcp::socket socket) {
+bool HttpService::MakeRoom() {
+  if (connections_->size() < most_connections_) {
+    return true;
+  }
+  ++closed_;
+  std::shared_ptr<Connection> silent;
+  for (const auto& connection : *connections_) {
+    if (!connection->serving_ &&
+        (!silent || connection->since_ < silent->since_)) {
+      silent = connection;
+    }
+  }
+  if (!silent) {
+    return false;
+  }
+  boost::system::error_code ignored;
+  silent->socket_.close(ignored);
+  connections_->erase(silent);
+  return true;
+}
+
+void HttpService::OnTick(TimePoint now) {
+  for (const auto& connection : *connections_) {
+    const Duration most = connection->has_bytes_ ? kMostTransfer : kMostIdle;
+    if (!connection->serving_ && now - connection->since_ > most) {
+      boost::system::error_code ignored;
+      connection->socket_.close(ignored);
+    }
+  }
+}
+
+asio::awaitable<void> HttpService::Serve(
+    std::shared_ptr<Connection> connection) {
+  /** Forgets the connection however its coroutine ends. */
+  struct Registered {
+    ~Registered() { all_->erase(one_); }
+    std::shared_ptr<std::set<std::shared_ptr<Connection>>> all_;  ///< Open.
+    std::shared_ptr<Connection> one_;  ///< To be forgotten.
+  };
+  const Registered registered{connections_, connection};
+  asio::ip::tcp::socket& socket = connection->socket_;
   boost::system::error_code error;
   auto token = asio::redirect_error(asio::use_awaitable, error);
   socket.set_option(asio::ip::tcp::no_delay(true), error);
@@ -68,20 +130,28 @@
     boost::system::error_code ignored;
     socket.close(ignored);
   });
+  holder.Set(kConnectionBytes);
   while (true) {
     http::request_parser<http::string_body> parser;
     parser.body_limit(kMostBodyBytes);
     parser.eager(true);
+    connection->since_ = BootNow();
+    connection->has_bytes_ = false;
     while (!parser.is_done()) {
       co_await http::async_read_some(socket, buffer, parser, token);
       if (error) {
         co_return;
       }
-      holder.Set(buffer.capacity() + parser.get().body().capacity());
+      if (!std::exchange(connection->has_bytes_, true)) {
+        connection->since_ = BootNow();
+      }
+      holder.Set(kConnectionBytes + buffer.capacity() +
+                 parser.get().body().capacity());
     }
     auto pending = std::make_shared<Pending>(socket.get_executor());
     pending->timer_.expires_at(asio::steady_timer::time_point::max());
     const bool keep = parser.get().keep_alive();
+    connection->serving_ = true;
     handler_(parser.release(), [pending](HttpReply reply) {
       pending->reply_ = std::move(reply);
       pending->timer_.cancel();
@@ -89,13 +159,18 @@
     if (!pending->reply_) {
       co_await pending->timer_.async_wait(token);
     }
+    connection->serving_ = false;
+    connection->since_ = BootNow();
     pending->reply_->keep_alive(keep);
     pending->reply_->prepare_payload();
+    holder.Set(kConnectionBytes + buffer.capacity() +
+               pending->reply_->body().capacity());
     error = {};
     co_await http::async_write(socket, *pending->reply_, token);
     if (error || !keep) {
       co_return;
     }
+    holder.Set(kConnectionBytes + buffer.capacity());
   }
 }
 
--- a/src/transport/gateway/http_service.h
+++ b/src/transport/gateway/http_service.h
@@ -4,11 +4,17 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <cstdint>
 #include <functional>
+#include <memory>
+#include <set>
 #include <string>
+#include <utility>
 
+#include "state/clock_type.h"
 #include "state/verdict_type.h"
 #include "transport/gateway/memory_keeper.h"
 #include "transport/http_reply.h"
@@ -24,23 +30,52 @@
   using Respond = std::function<void(HttpReply)>;
   using Handler = std::function<void(HttpRequest, Respond)>;
 
-  /** @param memory Bounds what all connections hold; outlives the service. */
+  /** @param memory Bounds what all connections hold; outlives the service.
+   * @param most_connections That may be open at the same time. */
   HttpService(boost::asio::io_context& io, MemoryKeeper& memory,
-              Handler handler)
-      : io_(io), memory_(memory), acceptor_(io), handler_(std::move(handler)) {}
+              size_t most_connections, Handler handler)
+      : io_(io),
+        memory_(memory),
+        most_connections_(most_connections),
+        acceptor_(io),
+        accept_again_(io),
+        handler_(std::move(handler)) {}
 
   /** Listens on "IP:port". @return Nothing, or a verdict with the address. */
   Result<void> Listen(const std::string& address);
   /** Accepts no more connections. */
   void Close();
+  /** Closes connections that send no request, or take no answer, for too long.
+   */
+  void OnTick(TimePoint now);
+  /** @return Connections closed, or not accepted, for lack of descriptors since
+   * the last call. */
+  uint64_t TakeClosed() { return std::exchange(closed_, 0); }
 
  private:
+  /** One connection. */
+  struct Connection {
+    explicit Connection(boost::asio::ip::tcp::socket socket)
+        : socket_(std::move(socket)) {}
+    boost::asio::ip::tcp::socket socket_;  ///< The connection.
+    TimePoint since_;         ///< Begin of waiting for the other end.
+    bool serving_ = false;    ///< Its request is with the handler.
+    bool has_bytes_ = false;  ///< A part of a request or an answer passes.
+  };
+
   void Accept();
-  boost::asio::awaitable<void> Serve(boost::asio::ip::tcp::socket socket);
+  bool MakeRoom();
+  boost::asio::awaitable<void> Serve(std::shared_ptr<Connection> connection);
 
-  boost::asio::io_context& io_;              ///< Runs all connections.
-  MemoryKeeper& memory_;                     ///< Bounds their bodies.
+  boost::asio::io_context& io_;  ///< Runs all connections.
+  MemoryKeeper& memory_;         ///< Bounds what they hold.
+  size_t most_connections_;      ///< At the same time.
+  /** Open ones. Shared, as coroutines may be destroyed after the service. */
+  std::shared_ptr<std::set<std::shared_ptr<Connection>>> connections_ =
+      std::make_shared<std::set<std::shared_ptr<Connection>>>();
+  uint64_t closed_ = 0;                      ///< For lack of descriptors.
   boost::asio::ip::tcp::acceptor acceptor_;  ///< Of the address.
+  boost::asio::steady_timer accept_again_;   ///< After a failed accept.
   Handler handler_;                          ///< Answers requests.
 };
 
--- a/src/transport/gateway/line_log.cc
+++ b/src/transport/gateway/line_log.cc
@@ -19,6 +19,8 @@
 constexpr double kBurstSeconds = 4;
 constexpr double kMsPerSecond = 1000;
 constexpr size_t kMostBuffered = 256UL << 10;
+/** Texts of clients may stand in a line. */
+constexpr size_t kMostDetailBytes = 4096;
 constexpr Duration kReportPeriod = 5_s;
 
 }  // namespace
@@ -80,8 +82,10 @@
   }
   if (!event.detail_.empty()) {
     buffer_ += ' ';
-    std::replace_copy(event.detail_.begin(), event.detail_.end(),
-                      std::back_inserter(buffer_), '\n', ' ');
+    const std::string_view detail =
+        std::string_view(event.detail_).substr(0, kMostDetailBytes);
+    std::replace_copy(detail.begin(), detail.end(), std::back_inserter(buffer_),
+                      '\n', ' ');
   }
   buffer_ += '\n';
 }
--- a/src/transport/gateway/memory_keeper.cc
+++ b/src/transport/gateway/memory_keeper.cc
@@ -6,8 +6,9 @@
 namespace gv {
 namespace {
 
-/** Differences in bytes that need not be exact. */
-constexpr size_t kGranularity = 16UL << 10;
+/** Differences in bytes that need not be exact. With 16 KiB, the heads that a
+ * crowd of connections left unfinished counted for nothing. */
+constexpr size_t kGranularity = 1UL << 10;
 /** Larger buffers are given back once they are empty. */
 constexpr size_t kMostKeptBuffer = 64UL << 10;
 
--- a/src/transport/gateway/memory_keeper.h
+++ b/src/transport/gateway/memory_keeper.h
@@ -19,10 +19,15 @@
  * one thread. */
 class MemoryKeeper {
  public:
-  /** @param limit Bytes. @param on_excess Called before a holder is ended. */
+  /** @param limit Bytes. Holders are ended from seven eighths of it on, so that
+   * reading stops before the limit is reached and not after. @param on_excess
+   * Called before a holder is ended. */
   MemoryKeeper(boost::asio::io_context& io, size_t limit,
                std::function<void(const ExcessHolder&)> on_excess)
-      : io_(io), held_(limit), on_excess_(std::move(on_excess)) {}
+      : io_(io),
+        limit_(limit),
+        held_(limit - limit / kEndingDivisor),
+        on_excess_(std::move(on_excess)) {}
 
   /** @param end Gives memory back; called later, never within Set(). */
   HolderId Add(HolderKind kind, std::function<void()> end);
@@ -33,12 +38,18 @@
   /** @return Bytes of all holders. */
   size_t Total() const { return held_.Total(); }
   /** @return Bytes that all may hold together. */
-  size_t Limit() const { return held_.Limit(); }
+  size_t Limit() const { return limit_; }
+  /** @return True if @p bytes more stay within the limit. */
+  bool HasRoom(size_t bytes) const { return Total() + bytes <= Limit(); }
 
  private:
   void EndExcess();
 
+  /** Part of the limit that is kept for what is under way. */
+  static constexpr size_t kEndingDivisor = 8;
+
   boost::asio::io_context& io_;
+  size_t limit_;  ///< In bytes.
   HeldMemory held_;
   std::function<void(const ExcessHolder&)> on_excess_;
   std::map<HolderId, std::function<void()>> ends_;
--- a/src/transport/peer_network.cc
+++ b/src/transport/peer_network.cc
@@ -3,6 +3,8 @@
 
 #include <boost/asio/strand.hpp>
 #include <boost/outcome/try.hpp>
+#include <chrono>
+#include <utility>
 
 #include "protocol/codec.h"
 #include "transport/listen.h"
@@ -15,17 +17,21 @@
 
 constexpr Duration kRedialDelay(200);
 constexpr size_t kMaxWaiting = 4096;
+/** Pause after a failed accept. */
+constexpr std::chrono::milliseconds kAcceptPause{50};
 
 }  // namespace
 
 PeerNetwork::PeerNetwork(asio::io_context& traffic, PeerIdentity identity,
                          std::function<void(Envelope)> deliver,
-                         size_t most_queued_bytes)
+                         size_t most_queued_bytes, size_t most_unproven)
     : traffic_(traffic),
       identity_(std::move(identity)),
       deliver_(std::move(deliver)),
       most_queued_bytes_(most_queued_bytes),
-      acceptor_(traffic) {}
+      most_unproven_(most_unproven),
+      acceptor_(traffic),
+      accept_again_(traffic) {}
 
 Result<void> PeerNetwork::Listen(const std::string& address) {
   BOOST_OUTCOME_TRY(OpenAcceptor(acceptor_, address));
@@ -40,15 +46,51 @@
         if (error == asio::error::operation_aborted) {
           return;
         }
-        if (!error) {
-          std::make_shared<PeerSession>(std::move(socket), identity_,
-                                        most_queued_bytes_, MakeCallbacks())
-              ->StartAccepted();
+        if (error) {
+          const std::lock_guard lock(mutex_);
+          if (closing_) {
+            return;
+          }
+          ++unproven_closed_;
+          accept_again_.expires_after(kAcceptPause);
+          accept_again_.async_wait([this](boost::system::error_code stopped) {
+            if (!stopped) {
+              Accept();
+            }
+          });
+          return;
         }
+        OnAccepted(std::move(socket));
         Accept();
       });
 }
 
+void PeerNetwork::OnAccepted(asio::ip::tcp::socket socket) {
+  const auto session = std::make_shared<PeerSession>(
+      std::move(socket), identity_, most_queued_bytes_, MakeCallbacks());
+  std::shared_ptr<PeerSession> oldest;
+  {
+    const std::lock_guard lock(mutex_);
+    unproven_.push_back(session);
+    if (unproven_.size() > most_unproven_) {
+      oldest = unproven_.front();
+      unproven_.pop_front();
+      ++unproven_closed_;
+    }
+  }
+  // A handshake takes a few round trips; the one that has lasted longest is the
+  // least likely to end in a proof.
+  if (oldest != nullptr) {
+    oldest->Close();
+  }
+  session->StartAccepted();
+}
+
+uint64_t PeerNetwork::TakeUnprovenClosed() {
+  const std::lock_guard lock(mutex_);
+  return std::exchange(unproven_closed_, 0);
+}
+
 PeerSession::Callbacks PeerNetwork::MakeCallbacks() {
   return PeerSession::Callbacks{
       [this](const std::shared_ptr<PeerSession>& session) { OnReady(session); },
@@ -119,6 +161,7 @@
 
 void PeerNetwork::OnReady(const std::shared_ptr<PeerSession>& session) {
   const std::lock_guard lock(mutex_);
+  unproven_.remove(session);
   Peer& peer = peers_[session->Peer()];
   peer.session_ = session;
   if (peer.dialling_ == session) {
@@ -135,6 +178,7 @@
   const NodeId node = session->Peer();
   {
     const std::lock_guard lock(mutex_);
+    unproven_.remove(session);
     const auto found = peers_.find(node);
     if (found == peers_.end()) {
       return;
@@ -176,13 +220,19 @@
 
 void PeerNetwork::Close() {
   std::map<NodeId, Peer> peers;
+  std::list<std::shared_ptr<PeerSession>> unproven;
   {
     const std::lock_guard lock(mutex_);
     closing_ = true;
     peers.swap(peers_);
+    unproven.swap(unproven_);
+    accept_again_.cancel();
   }
   boost::system::error_code ignored;
   acceptor_.close(ignored);
+  for (const auto& session : unproven) {
+    session->Close();
+  }
   for (auto& [node, peer] : peers) {
     if (peer.session_ != nullptr) {
       peer.session_->Close();
--- a/src/transport/peer_network.h
+++ b/src/transport/peer_network.h
@@ -4,8 +4,11 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <deque>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -18,6 +21,9 @@
 
 /** Bytes that may be queued for one peer, where memory is not scarce. */
 inline constexpr size_t kMostQueuedBytes = 256UL << 20;
+/** Accepted connections whose other end has not yet proven that it is a peer,
+ * where descriptors are not scarce. */
+inline constexpr size_t kMostUnproven = 1024;
 
 /**
  * Sends envelopes to peers by name. Messages may be lost when a connection
@@ -28,10 +34,13 @@
 class PeerNetwork {
  public:
   /** @param deliver Called on traffic threads with each message from a peer.
-   * @param most_queued_bytes Bound of what is not yet sent to one peer. */
+   * @param most_queued_bytes Bound of what is not yet sent to one peer.
+   * @param most_unproven Accepted connections without a proof; beyond, the one
+   * accepted first is closed. */
   PeerNetwork(boost::asio::io_context& traffic, PeerIdentity identity,
               std::function<void(Envelope)> deliver,
-              size_t most_queued_bytes = kMostQueuedBytes);
+              size_t most_queued_bytes = kMostQueuedBytes,
+              size_t most_unproven = kMostUnproven);
 
   /** Listens on "IP:port". @return Nothing, or Reason::kConnectionLost with the
    * address. */
@@ -48,6 +57,9 @@
    * that hear from each peer more often than that. @note Only where one thread
    * runs all connections. */
   void DropSilent(Duration silence);
+  /** @return Connections without a proof that were closed in favour of others,
+   * and accepts that failed, since the last call. */
+  uint64_t TakeUnprovenClosed();
   /** Closes everything. */
   void Close();
 
@@ -63,6 +75,7 @@
 
   void SendItem(const NodeId& node, PeerItem item);
   void Accept();
+  void OnAccepted(boost::asio::ip::tcp::socket socket);
   void Dial(const NodeId& node, Peer& peer);
   void OnReady(const std::shared_ptr<PeerSession>& session);
   void OnClosed(const std::shared_ptr<PeerSession>& session);
@@ -72,10 +85,15 @@
   PeerIdentity identity_;                    ///< This process.
   std::function<void(Envelope)> deliver_;    ///< To the runtime.
   size_t most_queued_bytes_;                 ///< For one peer.
+  size_t most_unproven_;                     ///< Size of unproven_.
   boost::asio::ip::tcp::acceptor acceptor_;  ///< For incoming connections.
+  boost::asio::steady_timer accept_again_;   ///< After a failed accept.
   std::mutex mutex_;                         ///< Guards the members below.
   std::map<NodeId, Peer> peers_;             ///< By name.
-  bool closing_ = false;                     ///< True after Close.
+  /** Accepted, without a proof yet, in this order. */
+  std::list<std::shared_ptr<PeerSession>> unproven_;
+  uint64_t unproven_closed_ = 0;  ///< Since it was last taken.
+  bool closing_ = false;          ///< True after Close.
 };
 
 }  // namespace gv
