--- a/src/transport/gateway/gateway.cc
+++ b/src/transport/gateway/gateway.cc
@@ -18,8 +18,6 @@
 namespace gv {
 namespace {
 
-namespace asio = boost::asio;
-
 /** Timeouts are kept to within this time; half a second is allowed. */
 constexpr std::chrono::milliseconds kTickPeriod{50};
 /** The balancer takes a gateway out after two misses, one a second; new
--- a/tests/platform/evacuation_path_test.cc
+++ b/tests/platform/evacuation_path_test.cc
@@ -38,7 +38,9 @@
          {std::string(), std::string("a%20b"), std::string("a/b"),
           std::string("a,b"), std::string(65, 'a')}) {
       CAPTURE(name);
-      CHECK(Begins(rig.Control(method, path + "/" + name, ""), "HTTP/1.1 400"));
+      const std::string answer =
+          rig.Control(method, std::string(path).append("/").append(name), "");
+      CHECK(Begins(answer, "HTTP/1.1 400"));
     }
     const std::string unknown = rig.Control(method, path + "/d9", "");
     CHECK(Begins(unknown, "HTTP/1.1 404"));
@@ -65,6 +67,7 @@
     args.push_back(at);
     args.emplace_back("--timeout_ms=3000");
     std::vector<char*> argv;
+    argv.reserve(args.size());
     for (std::string& arg : args) {
       argv.push_back(arg.data());
     }
--- a/tests/platform/untrusted_clients_test.cc
+++ b/tests/platform/untrusted_clients_test.cc
@@ -238,7 +238,6 @@
 
 size_t GatewayProcess::OpenDescriptors() const {
   size_t open = 0;
-  error_code ignored;
   std::error_code error;
   for (std::filesystem::directory_iterator at(
            "/proc/" + std::to_string(pid_) + "/fd", error);
@@ -338,12 +337,13 @@
 // Answers that nobody read piled up in memory, as further requests of the same
 // connection were read and answered all the while.
 TEST_CASE("untrusted clients: requests in a row, no answer read") {
-  for (const auto& [listener, path] :
-       {std::pair{Listener::kCallers, "/"},
-        std::pair{Listener::kControl, "/v1/configuration"},
-        std::pair{Listener::kMetrics, "/metrics"},
-        std::pair{Listener::kReadiness, "/v1/readyz"}}) {
-    CAPTURE(std::string(path));
+  for (const auto& item : {std::pair{Listener::kCallers, "/"},
+                           std::pair{Listener::kControl, "/v1/configuration"},
+                           std::pair{Listener::kMetrics, "/metrics"},
+                           std::pair{Listener::kReadiness, "/v1/readyz"}}) {
+    const Listener listener = item.first;
+    const std::string path = item.second;
+    CAPTURE(path);
     const GatewayProcess gateway;
     const std::string unit = ManyRequests(path);
     std::vector<std::thread> clients;
