Answer evacuation orders by the shared path of accepted operations

OnEvacuationOrder repeated what AnswerWhenAccepted does: 200 once the operation is accepted, 503 otherwise. No change of behaviour; the 24 evacuation tests pass.

--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -293,7 +293,7 @@
                           HttpService::Respond done);
   void OnGetConfiguration(HttpService::Respond done);
   void OnEvacuationOrder(const EvacuationOrder& order,
-                         HttpService::Respond done);
+                         const HttpService::Respond& done);
   void OnListEvacuations(const HttpService::Respond& done);
   bool KnowsDataCentre(const DataCentreId& data_centre) const;
   std::string MetricsText();
--- a/src/transport/gateway/gateway_calls.cc
+++ b/src/transport/gateway/gateway_calls.cc
@@ -58,7 +58,7 @@
       OnEvacuationOrder(
           EvacuationOrder{DataCentreId(call.id_),
                           call.call_ == ControlCall::kEndEvacuation},
-          std::move(done));
+          done);
       return;
     case ControlCall::kListEvacuations:
       OnListEvacuations(done);
--- a/src/transport/gateway/gateway_evacuations.cc
+++ b/src/transport/gateway/gateway_evacuations.cc
@@ -34,7 +34,7 @@
 }
 
 void Gateway::OnEvacuationOrder(const EvacuationOrder& order,
-                                HttpService::Respond done) {
+                                const HttpService::Respond& done) {
   const std::string& name = order.data_centre_.Value();
   if (!IsDataCentreName(name)) {
     Record(EventId::kEvacuationRefused,
@@ -51,11 +51,7 @@
     return;
   }
   Outbox out(Endpoint{self_, Port::kControl});
-  const OperationId id = registry_.SubmitEvacuation(Now(), order, out);
-  operations_[id] = [done = std::move(done)](const OperationResult& end) {
-    const bool accepted = end.state_ == OperationState::kAccepted;
-    done(MakeReply(accepted ? kOk : kUnavailable, "application/json", "{}"));
-  };
+  AnswerWhenAccepted(registry_.SubmitEvacuation(Now(), order, out), done);
   CarryOut(out);
 }
 
