Serve scripted targets with threads that are used again

Cause: a scripted target kept a thread for each connection that it had ever accepted and joined none before its end. On arm64 the thread sanitizer's runtime has room for few threads that are not joined, and ended platform/refused_and_run_model and a case of platform/memory_bound with a check of its own.

Change: a connection takes a thread that has none, and gives it back when it ends. Cases, connections and assertions stay. Two tests told connections apart by their threads; they do so by a number of the connection now, which no other connection of the process has.

Ruled out: fewer lanes, cases or connections, and suppressions.

--- a/tests/platform/refused_and_run_model_test.cc
+++ b/tests/platform/refused_and_run_model_test.cc
@@ -103,11 +103,11 @@
     const std::string id = request.Header(kAttemptHeader);
     if (Begins(id, kWarmUp)) {
       const std::scoped_lock lock(mutex_);
-      used_.insert(std::this_thread::get_id());
+      used_.insert(request.connection_);
       line.Send(Answer(request, 200, kSigned));
       return;
     }
-    const Case answer = Note();
+    const Case answer = Note(request.connection_);
     if (answer.way_ == Way::kLateAnswer) {
       std::this_thread::sleep_for(kLate);
     }
@@ -130,13 +130,13 @@
 
  private:
   /** @return The answer to the next attempt. */
-  Case Note() {
+  Case Note(uint64_t connection) {
     const std::scoped_lock lock(mutex_);
     Act act{outcome_.case_, false};
     if (act.answer_.way_ == Way::kThenRefused && !outcome_.acts_.empty()) {
       act.answer_ = Case{503, false, true, Named::kOwn, Way::kFirst};
     }
-    const bool is_first = used_.insert(std::this_thread::get_id()).second;
+    const bool is_first = used_.insert(connection).second;
     outcome_.reused_ += is_first ? 0 : 1;
     const Named named = act.answer_.named_;
     act.is_own_ = named == Named::kOwn || (named == Named::kNone && is_first);
@@ -144,9 +144,9 @@
     return act.answer_;
   }
 
-  std::mutex mutex_;                ///< Guards all below.
-  Outcome outcome_;                 ///< What the targets did.
-  std::set<std::thread::id> used_;  ///< One thread serves each connection.
+  std::mutex mutex_;         ///< Guards all below.
+  Outcome outcome_;          ///< What the targets did.
+  std::set<uint64_t> used_;  ///< Connections that have answered a request.
 };
 
 std::vector<Case> AllCases(bool repeatable) {
--- a/tests/platform/refused_and_run_test.cc
+++ b/tests/platform/refused_and_run_test.cc
@@ -71,7 +71,7 @@
       RunIt(request, line);
       return;
     }
-    first_ = std::this_thread::get_id();
+    first_ = request.connection_;
     refusal_ = Answer(request, status_, status_ == 421 ? "" : kNotRunHeader);
     register_anew();
     line.Send(copy_ == Copy::kAtOnce ? refusal_ + refusal_ : refusal_);
@@ -86,7 +86,7 @@
 
  private:
   void RunIt(const TargetRequest& request, TargetLine& line) {
-    shares_connection_ = std::this_thread::get_id() == first_;
+    shares_connection_ = request.connection_ == first_;
     if (copy_ == Copy::kAfterNextRequest && shares_connection_) {
       line.Send(refusal_);
     }
@@ -98,7 +98,7 @@
   const Copy copy_;
   std::mutex mutex_;            ///< Guards the members without atomics.
   std::string refusal_;         ///< To the first attempt.
-  std::thread::id first_;       ///< One thread serves each connection.
+  uint64_t first_ = 0;          ///< Connection of the first attempt.
   std::atomic<int> asked_ = 0;  ///< Attempts; all but the first run.
   std::atomic<bool> shares_connection_ = false;  ///< Of the first two.
 };
--- a/tests/platform/scripted_target.cc
+++ b/tests/platform/scripted_target.cc
@@ -16,6 +16,8 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
+std::atomic<uint64_t> last_connection{0};
+
 std::string ValueIn(const std::string& head, const std::string& name) {
   const size_t at = head.find("\r\n" + name + ": ");
   if (at == std::string::npos) {
@@ -90,24 +92,45 @@
       acceptor_(io_, {asio::ip::address_v4::loopback(), 0}),
       address_("127.0.0.1:" +
                std::to_string(acceptor_.local_endpoint().port())),
-      accepting_([this]() {
-        while (!stopping_ && !crashed_) {
-          error_code error;
-          tcp::socket socket(io_);
-          acceptor_.accept(socket, error);
-          if (!error && !stopping_ && !crashed_) {
-            // A reset drops what waits for the peer's acknowledgement.
-            socket.set_option(tcp::no_delay(true), error);
-            const std::scoped_lock lock(mutex_);
-            const uint64_t connection = ++last_connection_;
-            open_[connection] = socket.native_handle();
-            threads_.emplace_back(
-                [this, connection, taken = std::move(socket)]() mutable {
-                  Serve(connection, std::move(taken));
-                });
-          }
-        }
-      }) {}
+      accepting_([this]() { Accept(); }) {}
+
+void ScriptedTarget::Accept() {
+  while (!stopping_ && !crashed_) {
+    error_code error;
+    tcp::socket socket(io_);
+    acceptor_.accept(socket, error);
+    if (error || stopping_ || crashed_) {
+      continue;
+    }
+    // A reset drops what waits for the peer's acknowledgement.
+    socket.set_option(tcp::no_delay(true), error);
+    const std::scoped_lock lock(mutex_);
+    const uint64_t number = ++last_connection;
+    open_[number] = socket.native_handle();
+    waiting_.push_back(Accepted{number, std::move(socket)});
+    if (waiting_.size() > idle_threads_) {
+      threads_.emplace_back([this]() { RunThread(); });
+    }
+    has_work_.notify_one();
+  }
+}
+
+void ScriptedTarget::RunThread() {
+  std::unique_lock lock(mutex_);
+  while (true) {
+    ++idle_threads_;
+    has_work_.wait(lock, [this]() { return is_over_ || !waiting_.empty(); });
+    --idle_threads_;
+    if (waiting_.empty()) {
+      return;
+    }
+    Accepted accepted = std::move(waiting_.front());
+    waiting_.pop_front();
+    lock.unlock();
+    Serve(std::move(accepted));
+    lock.lock();
+  }
+}
 
 ScriptedTarget::~ScriptedTarget() {
   stopping_ = true;
@@ -118,6 +141,11 @@
     wake.connect(acceptor_.local_endpoint(), ignored);
   }
   accepting_.join();
+  {
+    const std::scoped_lock lock(mutex_);
+    is_over_ = true;
+  }
+  has_work_.notify_all();
   for (std::thread& thread : threads_) {
     thread.join();
   }
@@ -141,9 +169,9 @@
   return requests_;
 }
 
-void ScriptedTarget::Serve(uint64_t connection, tcp::socket socket) {
-  const auto forget = [this, connection]() { Forget(connection); };
-  ServeRequests(socket, forget);
+void ScriptedTarget::Serve(Accepted accepted) {
+  const auto forget = [this, &accepted]() { Forget(accepted.number_); };
+  ServeRequests(accepted, forget);
   forget();
 }
 
@@ -152,8 +180,9 @@
   open_.erase(connection);
 }
 
-void ScriptedTarget::ServeRequests(tcp::socket& socket,
+void ScriptedTarget::ServeRequests(Accepted& accepted,
                                    const std::function<void()>& closing) {
+  tcp::socket& socket = accepted.socket_;
   std::string input;
   while (!stopping_ && !crashed_) {
     error_code error;
@@ -163,6 +192,7 @@
       return;
     }
     TargetRequest request;
+    request.connection_ = accepted.number_;
     request.line_ = input.substr(0, input.find("\r\n"));
     request.head_ =
         input.substr(request.line_.size(), head - request.line_.size());
--- a/tests/platform/scripted_target.h
+++ b/tests/platform/scripted_target.h
@@ -6,6 +6,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -17,9 +20,10 @@
 
 /** What a scripted target got. */
 struct TargetRequest {
-  std::string line_;  ///< First line.
-  std::string head_;  ///< Headers as they came.
-  std::string body_;  ///< All of it.
+  std::string line_;         ///< First line.
+  std::string head_;         ///< Headers as they came.
+  std::string body_;         ///< All of it.
+  uint64_t connection_ = 0;  ///< No other one in the process has this number.
   /** @return The value of a header, or empty. */
   std::string Header(const std::string& name) const;
 };
@@ -52,7 +56,8 @@
 };
 
 /** A target whose answers a test writes. Thread safety: the script runs on one
- * thread for each connection. */
+ * thread for each open connection; threads are used again, as a sanitizer's
+ * runtime has room for few. */
 class ScriptedTarget {
  public:
   using Script = std::function<void(const TargetRequest&, TargetLine&)>;
@@ -72,9 +77,17 @@
   std::vector<TargetRequest> Requests();
 
  private:
-  void Serve(uint64_t connection, boost::asio::ip::tcp::socket socket);
-  void ServeRequests(boost::asio::ip::tcp::socket& socket,
-                     const std::function<void()>& closing);
+  /** A connection that waits for a thread. */
+  struct Accepted {
+    uint64_t number_;
+    boost::asio::ip::tcp::socket socket_;
+  };
+
+  void Accept();
+  /** Serves one connection after the other until the test is over. */
+  void RunThread();
+  void Serve(Accepted accepted);
+  void ServeRequests(Accepted& accepted, const std::function<void()>& closing);
   void Forget(uint64_t connection);
 
   Script script_;                            ///< Answers.
@@ -82,11 +95,14 @@
   boost::asio::ip::tcp::acceptor acceptor_;  ///< Listens.
   std::mutex mutex_;                         ///< Guards the vectors.
   std::vector<TargetRequest> requests_;      ///< Everything that came.
-  std::vector<std::thread> threads_;         ///< One for each connection.
+  std::vector<std::thread> threads_;  ///< As many as were needed at once.
+  std::deque<Accepted> waiting_;      ///< Under mutex_; for a thread.
+  size_t idle_threads_ = 0;           ///< Under mutex_; wait on has_work_.
+  bool is_over_ = false;              ///< Under mutex_; threads end.
+  std::condition_variable has_work_;  ///< A connection waits, or it is over.
   /** Descriptors by connection; under mutex_. An entry goes before its
    * descriptor is closed, as another socket may get the same number then. */
   std::map<uint64_t, int> open_;
-  uint64_t last_connection_ = 0;        ///< Under mutex_.
   std::string address_;                 ///< "127.0.0.1:PORT".
   std::atomic<bool> stopping_ = false;  ///< The test is over.
   std::atomic<bool> crashed_ = false;   ///< By Crash().
