Give each test process an address of its own

Cause: FindPorts of the gateway rig probed a port and gave it up before the gateway bound it, beside other test processes that searched the same range; "bind: Address already in use" (KNOWN-RED.txt, seen once in scripts/test on x86-64). The rig of the untrusted clients did the same, in a range with the fixed ports of other tests.

Change: each process has two addresses of 127.0.0.0/8 that are derived from its id, so that no other process binds there, and counts its ports up. Nothing is probed, so there is no window.

Weighed: a retry around the bind (hides the fault), a lock file for each block of ports (left behind by a killed process), a handed-over socket (the gateway would need a way to get one for tests only).

--- a/tests/platform/gateway_rig.cc
+++ b/tests/platform/gateway_rig.cc
@@ -12,6 +12,7 @@
 #include <sstream>
 
 #include "platform/platform_codec.h"
+#include "support/own_address.h"
 #include "transport/process_settings_file.h"
 #include "transport/steady_clock.h"
 
@@ -27,32 +28,15 @@
 constexpr std::chrono::milliseconds kTwoTicks{120};
 constexpr uint16_t kPorts = 4;
 
-/** @return The first of four ports that are free just now, below those that
- * the system gives to outgoing connections. */
-uint16_t FindPorts() {
+/** @return The first of four ports that this process has not used lately. */
+uint16_t NextPorts() {
+  // Below those that the system gives to outgoing connections.
   constexpr uint16_t kFirst = 24000;
   constexpr uint16_t kLast = 27000;
-  static uint16_t next =
-      static_cast<uint16_t>(kFirst + (getpid() % 700) * kPorts);
-  asio::io_context io;
-  for (;; next = next + kPorts < kLast ? next + kPorts : kFirst) {
-    bool free = true;
-    for (uint16_t i = 0; i < kPorts; ++i) {
-      error_code error;
-      tcp::acceptor probe(io);
-      probe.open(tcp::v4(), error);
-      probe.set_option(tcp::acceptor::reuse_address(true), error);
-      probe.bind(
-          {asio::ip::address_v4::loopback(), static_cast<uint16_t>(next + i)},
-          error);
-      free = free && !error;
-    }
-    if (free) {
-      const uint16_t found = next;
-      next = static_cast<uint16_t>(next + kPorts);
-      return found;
-    }
-  }
+  static uint16_t next = kFirst;
+  const uint16_t found = next;
+  next = static_cast<uint16_t>(next + kPorts < kLast ? next + kPorts : kFirst);
+  return found;
 }
 
 std::filesystem::path FolderOf(const std::string& ip, uint16_t first_port) {
@@ -117,8 +101,8 @@
 
 GatewayRig::GatewayRig(const std::string& configuration, const WireCodec* codec,
                        const std::string& more)
-    : ip_("127.0.0.1"),
-      first_port_(FindPorts()),
+    : ip_(OwnAddress()),
+      first_port_(NextPorts()),
       folder_(FolderOf(ip_, first_port_)) {
   Start("control: {bootstrap: true, data_folder: " + folder_.string() +
             "/data}\ngateway: {seeds: [" + At(0) + "], tolerated_losses: 0" +
@@ -134,7 +118,7 @@
 }
 
 GatewayRig::GatewayRig(const GatewayRig* member)
-    : ip_("127.0.0.2"),
+    : ip_(OwnAddress(1)),
       first_port_(member->first_port_),
       folder_(FolderOf(ip_, first_port_)) {
   // Gateways of a cluster have the same ports at different addresses.
--- a/tests/platform/untrusted_clients_test.cc
+++ b/tests/platform/untrusted_clients_test.cc
@@ -14,8 +14,10 @@
 #include <filesystem>
 #include <fstream>
 #include <thread>
+#include <utility>
 
 #include "platform/path_requests.h"
+#include "support/own_address.h"
 #include "transport/steady_clock.h"
 
 namespace gv {
@@ -67,30 +69,10 @@
                                 Listener::kReadiness, Listener::kControl,
                                 Listener::kMetrics};
 
-/** @return The first of the ports that are free just now. */
-uint16_t FindFreePorts() {
-  constexpr uint16_t kFirst = 27000;
-  constexpr uint16_t kLast = 30000;
-  static auto next = static_cast<uint16_t>(kFirst + getpid() % 500 * kPorts);
-  for (;;) {
-    const uint16_t found = next;
-    next = next + 2 * kPorts < kLast ? next + kPorts : kFirst;
-    asio::io_context io;
-    bool free = true;
-    for (uint16_t i = 0; i < kPorts; ++i) {
-      error_code error;
-      tcp::acceptor probe(io);
-      probe.open(tcp::v4(), error);
-      probe.set_option(tcp::acceptor::reuse_address(true), error);
-      probe.bind(
-          {asio::ip::address_v4::loopback(), static_cast<uint16_t>(found + i)},
-          error);
-      free = free && !error;
-    }
-    if (free) {
-      return found;
-    }
-  }
+/** @return The first of the ports of the next gateway. */
+uint16_t NextPorts() {
+  static uint16_t next = 27000;
+  return std::exchange(next, static_cast<uint16_t>(next + kPorts));
 }
 
 /** A gateway in a process of its own. Thread safety: one test thread; const
@@ -103,7 +85,7 @@
   GatewayProcess& operator=(const GatewayProcess&) = delete;
 
   tcp::endpoint At(Listener listener) const {
-    return {asio::ip::address_v4::loopback(),
+    return {asio::ip::make_address(OwnAddress()),
             static_cast<uint16_t>(first_port_ + static_cast<int>(listener))};
   }
   /** @return The answer up to its end or the time limit. */
@@ -121,7 +103,7 @@
   bool Await(Listener listener, const std::string& request,
              const std::string& begin) const;
 
-  uint16_t first_port_ = FindFreePorts();
+  uint16_t first_port_ = NextPorts();
   std::filesystem::path folder_ = std::filesystem::temp_directory_path() /
                                   ("gv_untrusted_" + std::to_string(getpid()) +
                                    "_" + std::to_string(first_port_));
@@ -180,7 +162,8 @@
 
 void GatewayProcess::WriteSettings() const {
   const auto at = [this](Listener listener) {
-    return "\"127.0.0.1:" + std::to_string(At(listener).port()) + "\"";
+    return "\"" + OwnAddress() + ":" + std::to_string(At(listener).port()) +
+           "\"";
   };
   const std::string folder = folder_.string();
   std::ofstream(folder_ / "key") << "a-key-of-enough-bytes\n";
