Log the age and the base of evacuation orders

The logs could not tell apart whether an old order passes the leader's check as new, is refused and sent again, is proposed by the woken leader itself, or waits between gateways: no line named an order that a gateway forwards, the revision that it is based on, or a refusal.

New events: evacuation-forwarded (operation, leader, order, based_on, age_ms) and evacuation-outdated. The age is bounded by what the gateway saw of its sockets: the control listener notes every 200 ms which connections have nothing to read, with one call of poll(), and PauseGuard notices that the process was stopped.

--- a/src/coordination/gateway/registry_core.cc
+++ b/src/coordination/gateway/registry_core.cc
@@ -102,7 +102,7 @@
   }
   for (auto& [id, operation] : pending_operations_) {
     if (!operation.sent_) {
-      SendOperation(id, operation, out);
+      SendOperation(now, id, operation, out);
     }
   }
   ExpireOperations(now, out);
@@ -244,13 +244,13 @@
                                          Outbox& out) {
   last_operation_ = last_operation_.Next();
   operation.timeout_at_ = now + kOperationTimeout;
-  SendOperation(last_operation_, operation, out);
+  SendOperation(now, last_operation_, operation, out);
   pending_operations_[last_operation_] = std::move(operation);
   return last_operation_;
 }
 
-void RegistryCore::SendOperation(OperationId id, PendingOperation& operation,
-                                 Outbox& out) {
+void RegistryCore::SendOperation(TimePoint now, OperationId id,
+                                 PendingOperation& operation, Outbox& out) {
   if (leader_.IsNone()) {
     return;
   }
@@ -258,9 +258,16 @@
   if (operation.is_read_) {
     out.Send(ControlEndpoint(leader_), ReadForward{id});
   } else if (operation.evacuation_) {
+    const EvacuationOrder& order = *operation.evacuation_;
+    Record(EventId::kEvacuationForwarded,
+           "operation=" + std::to_string(id.Value()) + " leader=" +
+               leader_.Value() + " data_centre=" + order.data_centre_.Value() +
+               (order.withdrawn_ ? " end" : " begin") +
+               " based_on=" + std::to_string(evacuations_.Revision()) +
+               " age_ms=" + std::to_string((now - operation.issued_).Ms()),
+           out);
     out.Send(ControlEndpoint(leader_),
-             EvacuationForward{id, operation.evacuation_->data_centre_,
-                               operation.evacuation_->withdrawn_,
+             EvacuationForward{id, order.data_centre_, order.withdrawn_,
                                evacuations_.Revision()});
   } else {
     out.Send(ControlEndpoint(leader_),
--- a/src/coordination/gateway/registry_core.h
+++ b/src/coordination/gateway/registry_core.h
@@ -50,9 +50,10 @@
                            Outbox& out);
   /** Sends an order about a data centre to the leader. Its result is returned
    * by TakeCompletedOperations(): kAccepted once it cannot be lost. A repeated
-   * order is accepted again. */
-  OperationId SubmitEvacuation(TimePoint now, EvacuationOrder order,
-                               Outbox& out);
+   * order is accepted again.
+   * @param issued The operator sent it then or later. */
+  OperationId SubmitEvacuation(TimePoint now, TimePoint issued,
+                               EvacuationOrder order, Outbox& out);
   /** Asks the leader for the newest version. Its result is returned by
    * TakeCompletedOperations(). */
   OperationId ConfirmVersion(TimePoint now, Outbox& out);
@@ -151,7 +152,8 @@
     std::string text_;      ///< Text of the change; unused for reads.
     bool sent_ = false;     ///< Sent to a leader that has not rejected it.
     std::optional<EvacuationOrder> evacuation_ =
-        std::nullopt;  ///< Set for an order about a data centre.
+        std::nullopt;     ///< Set for an order about a data centre.
+    TimePoint issued_{};  ///< The operator sent it then or later.
   };
   /** A target that leaves, until enough members know. */
   struct PendingLeaving {
@@ -200,7 +202,8 @@
               Outbox& out);
   OperationId BeginOperation(TimePoint now, PendingOperation operation,
                              Outbox& out);
-  void SendOperation(OperationId id, PendingOperation& operation, Outbox& out);
+  void SendOperation(TimePoint now, OperationId id, PendingOperation& operation,
+                     Outbox& out);
   void OnOutcome(OperationId id, bool succeeded, OperationState state,
                  uint64_t version);
   void ExpireOperations(TimePoint now, Outbox& out);
--- a/src/coordination/gateway/registry_evacuations.cc
+++ b/src/coordination/gateway/registry_evacuations.cc
@@ -6,9 +6,10 @@
 
 namespace gv {
 
-OperationId RegistryCore::SubmitEvacuation(TimePoint now, EvacuationOrder order,
-                                           Outbox& out) {
+OperationId RegistryCore::SubmitEvacuation(TimePoint now, TimePoint issued,
+                                           EvacuationOrder order, Outbox& out) {
   PendingOperation operation;
+  operation.issued_ = issued;
   operation.evacuation_ = std::move(order);
   return BeginOperation(now, std::move(operation), out);
 }
@@ -40,6 +41,14 @@
     return;
   }
   if (forward.based_on_ < committed_evacuations_.Revision()) {
+    Record(EventId::kEvacuationOutdated,
+           "gateway=" + from.node_.Value() +
+               " operation=" + std::to_string(forward.operation_.Value()) +
+               " data_centre=" + order.data_centre_.Value() +
+               (order.withdrawn_ ? " end" : " begin") +
+               " based_on=" + std::to_string(forward.based_on_) +
+               " newest=" + std::to_string(committed_evacuations_.Revision()),
+           out);
     // A copy of an order that was delayed on its way must not undo an order
     // that was acknowledged since. A pending order is sent again after the
     // push.
--- a/src/state/event_type.h
+++ b/src/state/event_type.h
@@ -62,6 +62,8 @@
   kEvacuationsInForce = 650,
   kEvacuationRefused = 651,
   kConnectionsClosed = 654,
+  kEvacuationForwarded = 655,
+  kEvacuationOutdated = 656,
   kForwardAdmitted = 610,
   kForwardRefused = 611,
   kForwardSent = 612,
--- a/src/state/table/events.h
+++ b/src/state/table/events.h
@@ -19,7 +19,7 @@
   std::string_view meaning_;  ///< For people.
 };
 
-inline constexpr std::array<EventRow, 85> kEvents{{
+inline constexpr std::array<EventRow, 87> kEvents{{
     {EventId::kProcessStarted, "process-started", EventLevel::kInfo,
      "A process started with its roles."},
     {EventId::kProcessStopping, "process-stopping", EventLevel::kInfo,
@@ -125,6 +125,12 @@
      "A gateway sends nothing more to the targets of these data centres."},
     {EventId::kEvacuationRefused, "evacuation-refused", EventLevel::kWarning,
      "An order names a data centre that is malformed or unknown."},
+    {EventId::kEvacuationForwarded, "evacuation-forwarded", EventLevel::kInfo,
+     "A gateway sent an order about a data centre to the leader; with the "
+     "order that it follows, and the time that it may have waited unread."},
+    {EventId::kEvacuationOutdated, "evacuation-outdated", EventLevel::kInfo,
+     "The leader did not carry out an order, as another one was accepted since "
+     "it was forwarded."},
     {EventId::kConnectionsClosed, "connections-closed", EventLevel::kWarning,
      "Connections were closed or not accepted, as too few descriptors are "
      "left; with their numbers since the last line."},
--- a/src/transport/gateway/gateway.cc
+++ b/src/transport/gateway/gateway.cc
@@ -101,15 +101,18 @@
       accept_again_(io_),
       readiness_(
           io_, memory_, shares_.service_,
-          [this](const HttpRequest& request, const HttpService::Respond& done) {
+          [this](const HttpRequest& request, const RequestOrigin& /*origin*/,
+                 const HttpService::Respond& done) {
             OnReadiness(request, done);
           }),
       control_(io_, memory_, shares_.service_,
-               [this](const HttpRequest& request, HttpService::Respond done) {
-                 OnControl(request, std::move(done));
+               [this](const HttpRequest& request, const RequestOrigin& origin,
+                      HttpService::Respond done) {
+                 OnControl(request, origin, std::move(done));
                }),
       metrics_(io_, memory_, shares_.service_,
                [this](const HttpRequest& /*request*/,
+                      const RequestOrigin& /*origin*/,
                       const HttpService::Respond& done) {
                  done(MakeReply(200, "text/plain", MetricsText()));
                }),
@@ -181,6 +184,7 @@
 
 void Gateway::OnTick() {
   const TimePoint now = Now();
+  pauses_.OnTick(now);
   ledger_.SetLeader(registry_.Leader());
   Step(
       Envelope{{self_, Port::kTransport}, {self_, Port::kControl}, {}, Tick{}});
@@ -195,6 +199,11 @@
   if (now >= reopen_disk_) {
     ReopenDisk();
   }
+  if (now >= next_input_check_) {
+    constexpr Duration kInputCheckPeriod = 200_ms;
+    next_input_check_ = now + kInputCheckPeriod;
+    control_.NoteUnreadInput(now);
+  }
   if (now >= next_silence_) {
     constexpr Duration kSilencePeriod = 500_ms;
     /** Polls and their answers pass every 400 ms. */
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "coordination/gateway/answer_times.h"
 #include "coordination/gateway/caller_patience.h"
 #include "coordination/gateway/load_ledger.h"
+#include "coordination/gateway/pause_guard.h"
 #include "coordination/gateway/placement.h"
 #include "coordination/gateway/prompt_scheduler.h"
 #include "coordination/gateway/registry_core.h"
@@ -279,7 +280,8 @@
   // gateway_calls.cc: readiness, metrics, targets, operators.
   void OnReadiness(const HttpRequest& request,
                    const HttpService::Respond& done);
-  void OnControl(const HttpRequest& request, HttpService::Respond done);
+  void OnControl(const HttpRequest& request, const RequestOrigin& origin,
+                 HttpService::Respond done);
   /** @return A registration whose warm-up can be judged by the registry. Logs a
    * warm-up that is not usable. */
   TargetRegistration CheckWarmUp(TargetRegistration target);
@@ -293,6 +295,7 @@
                           HttpService::Respond done);
   void OnGetConfiguration(HttpService::Respond done);
   void OnEvacuationOrder(const EvacuationOrder& order,
+                         const RequestOrigin& origin,
                          const HttpService::Respond& done);
   void OnListEvacuations(const HttpService::Respond& done);
   bool KnowsDataCentre(const DataCentreId& data_centre) const;
@@ -330,6 +333,7 @@
   NodeId self_;                        ///< Address for peers.
   LineLog log_;                        ///< Standard output.
   RegistryCore registry_;              ///< What all gateways share.
+  PauseGuard pauses_;                  ///< Of this process.
   LoadLedger ledger_;                  ///< Work at targets.
   TargetHealth health_;                ///< Failures of targets.
   Placer placer_;                      ///< Chooses targets.
@@ -384,6 +388,7 @@
   TimePoint last_leader_reply_;     ///< When a question was answered last.
   TimePoint next_load_;             ///< When to report the load.
   TimePoint next_silence_;          ///< When to look for silent peers.
+  TimePoint next_input_check_;      ///< When to look for unread orders.
   bool load_sent_empty_ = false;    ///< The last report had no work.
 
   prometheus::Registry metrics_registry_;              ///< All metrics.
--- a/src/transport/gateway/gateway_calls.cc
+++ b/src/transport/gateway/gateway_calls.cc
@@ -35,7 +35,8 @@
                  : MakeReply(kUnavailable, "text/plain", "not ready\n"));
 }
 
-void Gateway::OnControl(const HttpRequest& request, HttpService::Respond done) {
+void Gateway::OnControl(const HttpRequest& request, const RequestOrigin& origin,
+                        HttpService::Respond done) {
   const auto method = request.method_string();
   const auto path = request.target();
   const ControlRequest call = codec_.read_control_(
@@ -58,7 +59,7 @@
       OnEvacuationOrder(
           EvacuationOrder{DataCentreId(call.id_),
                           call.call_ == ControlCall::kEndEvacuation},
-          done);
+          origin, done);
       return;
     case ControlCall::kListEvacuations:
       OnListEvacuations(done);
--- a/src/transport/gateway/gateway_evacuations.cc
+++ b/src/transport/gateway/gateway_evacuations.cc
@@ -34,6 +34,7 @@
 }
 
 void Gateway::OnEvacuationOrder(const EvacuationOrder& order,
+                                const RequestOrigin& origin,
                                 const HttpService::Respond& done) {
   const std::string& name = order.data_centre_.Value();
   if (!IsDataCentreName(name)) {
@@ -51,7 +52,9 @@
     return;
   }
   Outbox out(Endpoint{self_, Port::kControl});
-  AnswerWhenAccepted(registry_.SubmitEvacuation(Now(), order, out), done);
+  const TimePoint issued = pauses_.SentAfter(Now(), origin.arrived_after_);
+  AnswerWhenAccepted(registry_.SubmitEvacuation(Now(), issued, order, out),
+                     done);
   CarryOut(out);
 }
 
--- a/src/transport/gateway/http_service.cc
+++ b/src/transport/gateway/http_service.cc
@@ -1,6 +1,9 @@
 /** @file http_service.cc Reads a request, waits for its answer, writes it. */
 #include "transport/gateway/http_service.h"
 
+#include <poll.h>
+#include <sys/socket.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -9,6 +12,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <optional>
+#include <vector>
 
 #include "transport/listen.h"
 #include "transport/steady_clock.h"
@@ -32,6 +36,18 @@
 /** Memory of a connection: coroutine, parser with a whole head. */
 constexpr size_t kConnectionBytes = 16UL << 10;
 
+bool HasUnreadInput(asio::ip::tcp::socket& socket) {
+  pollfd watched{socket.native_handle(), POLLIN, 0};
+  return poll(&watched, 1, 0) != 0;
+}
+
+bool HasPeerLeft(asio::ip::tcp::socket& socket) {
+  char byte = 0;
+  const ssize_t size =
+      recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 /** Where a late answer meets the coroutine that waits for it. */
 struct Pending {
   explicit Pending(const asio::any_io_executor& executor) : timer_(executor) {}
@@ -44,6 +60,7 @@
 Result<void> HttpService::Listen(const std::string& address) {
   Result<void> opened = OpenAcceptor(acceptor_, address);
   if (opened.has_value()) {
+    quiet_at_ = BootNow();
     Accept();
   }
   return opened;
@@ -74,6 +91,7 @@
           // Counted here, as its coroutine starts only after further accepts.
           auto connection = std::make_shared<Connection>(std::move(socket));
           connection->since_ = BootNow();
+          connection->quiet_at_ = quiet_at_;
           connections_->insert(connection);
           asio::co_spawn(io_, Serve(std::move(connection)), asio::detached);
         }
@@ -112,6 +130,28 @@
   }
 }
 
+void HttpService::NoteUnreadInput(TimePoint now) {
+  std::vector<pollfd> watched{{acceptor_.native_handle(), POLLIN, 0}};
+  std::vector<Connection*> idle;
+  for (const auto& connection : *connections_) {
+    if (!connection->serving_ && !connection->has_bytes_) {
+      idle.push_back(connection.get());
+      watched.push_back({connection->socket_.native_handle(), POLLIN, 0});
+    }
+  }
+  if (poll(watched.data(), watched.size(), 0) < 0) {
+    return;
+  }
+  if (watched[0].revents == 0) {
+    quiet_at_ = now;
+  }
+  for (size_t i = 0; i < idle.size(); ++i) {
+    if (watched[i + 1].revents == 0) {
+      idle[i]->quiet_at_ = now;
+    }
+  }
+}
+
 asio::awaitable<void> HttpService::Serve(
     std::shared_ptr<Connection> connection) {
   /** Forgets the connection however its coroutine ends. */
@@ -136,7 +176,11 @@
     parser.body_limit(kMostBodyBytes);
     parser.eager(true);
     connection->since_ = BootNow();
-    connection->has_bytes_ = false;
+    // Requests that were sent ahead are in the buffer.
+    connection->has_bytes_ = buffer.size() > 0;
+    if (!connection->has_bytes_ && !HasUnreadInput(socket)) {
+      connection->quiet_at_ = BootNow();
+    }
     while (!parser.is_done()) {
       co_await http::async_read_some(socket, buffer, parser, token);
       if (error) {
@@ -152,7 +196,9 @@
     pending->timer_.expires_at(asio::steady_timer::time_point::max());
     const bool keep = parser.get().keep_alive();
     connection->serving_ = true;
-    handler_(parser.release(), [pending](HttpReply reply) {
+    const RequestOrigin origin{connection->quiet_at_,
+                               [&socket]() { return HasPeerLeft(socket); }};
+    handler_(parser.release(), origin, [pending](HttpReply reply) {
       pending->reply_ = std::move(reply);
       pending->timer_.cancel();
     });
--- a/src/transport/gateway/http_service.h
+++ b/src/transport/gateway/http_service.h
@@ -21,6 +21,15 @@
 
 namespace gv {
 
+/** What is known of the sender of a request. Valid during the call of the
+ * handler. */
+struct RequestOrigin {
+  /** The request arrived at this machine at this time or later. */
+  TimePoint arrived_after_;
+  /** Tells whether the sender has closed its connection, or half of it. */
+  std::function<bool()> has_left_;
+};
+
 /**
  * Serves one address. Thread safety: owned by one thread.
  */
@@ -28,7 +37,8 @@
  public:
   /** Gives the answer to one request; called once, now or later. */
   using Respond = std::function<void(HttpReply)>;
-  using Handler = std::function<void(HttpRequest, Respond)>;
+  using Handler =
+      std::function<void(HttpRequest, const RequestOrigin&, Respond)>;
 
   /** @param memory Bounds what all connections hold; outlives the service.
    * @param most_connections That may be open at the same time. */
@@ -48,6 +58,9 @@
   /** Closes connections that send no request, or take no answer, for too long.
    */
   void OnTick(TimePoint now);
+  /** Notes which connections have no unread input, so that handlers get a late
+   * arrived_after_. Call several times a second. */
+  void NoteUnreadInput(TimePoint now);
   /** @return Connections closed, or not accepted, for lack of descriptors since
    * the last call. */
   uint64_t TakeClosed() { return std::exchange(closed_, 0); }
@@ -59,6 +72,7 @@
         : socket_(std::move(socket)) {}
     boost::asio::ip::tcp::socket socket_;  ///< The connection.
     TimePoint since_;         ///< Begin of waiting for the other end.
+    TimePoint quiet_at_;      ///< Last time when no next request was there.
     bool serving_ = false;    ///< Its request is with the handler.
     bool has_bytes_ = false;  ///< A part of a request or an answer passes.
   };
@@ -73,7 +87,8 @@
   /** Open ones. Shared, as coroutines may be destroyed after the service. */
   std::shared_ptr<std::set<std::shared_ptr<Connection>>> connections_ =
       std::make_shared<std::set<std::shared_ptr<Connection>>>();
-  uint64_t closed_ = 0;                      ///< For lack of descriptors.
+  uint64_t closed_ = 0;  ///< For lack of descriptors.
+  TimePoint quiet_at_;   ///< Last time when no new connection waited.
   boost::asio::ip::tcp::acceptor acceptor_;  ///< Of the address.
   boost::asio::steady_timer accept_again_;   ///< After a failed accept.
   Handler handler_;                          ///< Answers requests.
--- a/tests/support/registry_group.cc
+++ b/tests/support/registry_group.cc
@@ -205,7 +205,7 @@
   OperationId id;
   Act(at, [&](TimePoint now, RegistryCore& core, Outbox& out) {
     id = core.SubmitEvacuation(
-        now, EvacuationOrder{DataCentreId(data_centre), withdrawn}, out);
+        now, now, EvacuationOrder{DataCentreId(data_centre), withdrawn}, out);
   });
   return id;
 }
