Do not carry out evacuation orders that their operator has given up

Cause: an order has no version of its own. A gateway based it on the newest set that it knew when it forwarded the order, and once more when the leader had refused it, though the operator had given it up seconds before. The leader's check of that base then passed.

Change: the time of an operation begins when its order can have been sent, not when it is read, so an order is only based on what was known while its operator waited. An order from a closed connection is not carried out. Operations end before a tick sends anything. Each order gets an entry in the log, also one without an effect, and names the newest order, not the newest change: an acknowledgement without an entry left copies of the order before valid. Why it works: each order that the operator gives after giving one up is committed later than anything that the one given up can be based on.

Ruled out as the cause: the woken leader proposing by itself, a copy waiting between gateways (the latter is a related path with a test).

--- a/src/coordination/gateway/pause_guard.cc
+++ b/src/coordination/gateway/pause_guard.cc
@@ -13,9 +13,9 @@
 
 void PauseGuard::OnTick(TimePoint now) {
   if (last_tick_ && now - *last_tick_ > kLongestGap) {
-    pause_began_ = now < pause_matters_until_
-                       ? std::min(pause_began_, *last_tick_)
-                       : *last_tick_;
+    if (*last_tick_ >= pause_matters_until_) {
+      pause_began_ = *last_tick_;
+    }
     // A sender without an acknowledgement doubles the time to its next
     // retransmission, so that what it sent during a pause arrives within the
     // length of the pause after its end.
@@ -25,13 +25,12 @@
 }
 
 TimePoint PauseGuard::SentAfter(TimePoint now, TimePoint arrived_after) const {
-  if (now < pause_matters_until_) {
-    return std::min(arrived_after, pause_began_);
-  }
-  if (last_tick_ && now - *last_tick_ > kLongestGap) {
-    return std::min(arrived_after, *last_tick_);
-  }
-  return arrived_after;
+  // The pause may have ended just now, before its first tick.
+  PauseGuard ticked = *this;
+  ticked.OnTick(now);
+  return now < ticked.pause_matters_until_
+             ? std::min(arrived_after, ticked.pause_began_)
+             : arrived_after;
 }
 
 }  // namespace gv
--- a/src/coordination/gateway/registry_core.cc
+++ b/src/coordination/gateway/registry_core.cc
@@ -100,12 +100,12 @@
     next_membership_check_ = now + kMembershipPeriod;
     UpdateMembership(now, out);
   }
+  ExpireOperations(now, out);
   for (auto& [id, operation] : pending_operations_) {
     if (!operation.sent_) {
       SendOperation(now, id, operation, out);
     }
   }
-  ExpireOperations(now, out);
   TickLeaving(now, out);
   TickRetries(now, out);
   TickParts(now, out);
@@ -194,6 +194,8 @@
     return;
   }
   committed_evacuations_.Replace(*evacuations);
+  // A snapshot does not tell which of its entries was the newest order.
+  newest_order_ = std::max(newest_order_, replica_->CommitIndex().Value());
   ServeEvacuations(committed_evacuations_, out);
   const Result<void> decoded = committed_.PutEncoded(snapshot);
   if (!decoded.has_value()) {
@@ -228,6 +230,7 @@
 OperationId RegistryCore::SubmitChange(TimePoint now, uint64_t version,
                                        std::string text, Outbox& out) {
   PendingOperation operation;
+  operation.issued_ = now;
   operation.version_ = version;
   operation.text_ = std::move(text);
   return BeginOperation(now, std::move(operation), out);
@@ -235,6 +238,7 @@
 
 OperationId RegistryCore::ConfirmVersion(TimePoint now, Outbox& out) {
   PendingOperation operation;
+  operation.issued_ = now;
   operation.is_read_ = true;
   return BeginOperation(now, std::move(operation), out);
 }
@@ -243,9 +247,13 @@
                                          PendingOperation operation,
                                          Outbox& out) {
   last_operation_ = last_operation_.Next();
-  operation.timeout_at_ = now + kOperationTimeout;
-  SendOperation(now, last_operation_, operation, out);
-  pending_operations_[last_operation_] = std::move(operation);
+  PendingOperation& pending = pending_operations_[last_operation_];
+  pending = std::move(operation);
+  if (now - pending.issued_ < kOperationTimeout) {
+    SendOperation(now, last_operation_, pending, out);
+  } else {
+    ExpireOperations(now, out);
+  }
   return last_operation_;
 }
 
@@ -258,17 +266,7 @@
   if (operation.is_read_) {
     out.Send(ControlEndpoint(leader_), ReadForward{id});
   } else if (operation.evacuation_) {
-    const EvacuationOrder& order = *operation.evacuation_;
-    Record(EventId::kEvacuationForwarded,
-           "operation=" + std::to_string(id.Value()) + " leader=" +
-               leader_.Value() + " data_centre=" + order.data_centre_.Value() +
-               (order.withdrawn_ ? " end" : " begin") +
-               " based_on=" + std::to_string(evacuations_.Revision()) +
-               " age_ms=" + std::to_string((now - operation.issued_).Ms()),
-           out);
-    out.Send(ControlEndpoint(leader_),
-             EvacuationForward{id, order.data_centre_, order.withdrawn_,
-                               evacuations_.Revision()});
+    SendEvacuation(now, id, operation, out);
   } else {
     out.Send(ControlEndpoint(leader_),
              ChangeForward{id, operation.version_, operation.text_});
@@ -278,13 +276,15 @@
 void RegistryCore::ExpireOperations(TimePoint now, Outbox& out) {
   for (auto it = pending_operations_.begin();
        it != pending_operations_.end();) {
-    if (now < it->second.timeout_at_) {
+    const Duration age = now - it->second.issued_;
+    if (age < kOperationTimeout) {
       ++it;
       continue;
     }
     Record(EventId::kOperationUnknown,
            "operation=" + std::to_string(it->first.Value()) + " leader=" +
-               leader_.Value() + (it->second.is_read_ ? " read" : " change"),
+               leader_.Value() + (it->second.is_read_ ? " read" : " change") +
+               " age_ms=" + std::to_string(age.Ms()),
            out);
     completed_.push_back(
         OperationResult{it->first, OperationState::kUnknown, 0});
--- a/src/coordination/gateway/registry_core.h
+++ b/src/coordination/gateway/registry_core.h
@@ -50,7 +50,8 @@
                            Outbox& out);
   /** Sends an order about a data centre to the leader. Its result is returned
    * by TakeCompletedOperations(): kAccepted once it cannot be lost. A repeated
-   * order is accepted again.
+   * order is accepted again. An order whose operator may not wait any more is
+   * not sent, and completes as kUnknown.
    * @param issued The operator sent it then or later. */
   OperationId SubmitEvacuation(TimePoint now, TimePoint issued,
                                EvacuationOrder order, Outbox& out);
@@ -146,14 +147,13 @@
   };
   /** An operation without an answer of the leader. */
   struct PendingOperation {
-    TimePoint timeout_at_;  ///< When it completes as kUnknown.
+    TimePoint issued_;      ///< The operator sent it then or later.
     bool is_read_ = false;  ///< True for ReadForward, false for ChangeForward.
     uint64_t version_ = 0;  ///< Version of the change; unused for reads.
     std::string text_;      ///< Text of the change; unused for reads.
     bool sent_ = false;     ///< Sent to a leader that has not rejected it.
     std::optional<EvacuationOrder> evacuation_ =
-        std::nullopt;     ///< Set for an order about a data centre.
-    TimePoint issued_{};  ///< The operator sent it then or later.
+        std::nullopt;  ///< Set for an order about a data centre.
   };
   /** A target that leaves, until enough members know. */
   struct PendingLeaving {
@@ -164,11 +164,10 @@
   };
   /** A change that the leader has proposed and that is not committed yet. */
   struct PendingProposal {
-    LogIndex index_;            ///< Index of the log entry.
-    Term term_;                 ///< Term of the log entry.
-    Endpoint origin_;           ///< Sender of the request, to be answered.
-    OperationId operation_;     ///< Id of the request, copied to the answer.
-    DataCentreId evacuates_{};  ///< Data centre of an order; or none.
+    LogIndex index_;         ///< Index of the log entry.
+    Term term_;              ///< Term of the log entry.
+    Endpoint origin_;        ///< Sender of the request, to be answered.
+    OperationId operation_;  ///< Id of the request, copied to the answer.
   };
 
   /** A gateway that asked for a permit. */
@@ -258,6 +257,8 @@
   void OnEvacuationEntry(const LogEntry& entry, const EvacuationOrder& order,
                          Outbox& out);
   void OnEvacuationPush(const EvacuationPush& push, Outbox& out);
+  void SendEvacuation(TimePoint now, OperationId id,
+                      const PendingOperation& operation, Outbox& out) const;
   /** Makes @p newest the set in force here, if it is newer. */
   void ServeEvacuations(const EvacuationSet& newest, Outbox& out);
   EvacuationPush MakeEvacuationPush() const;
@@ -333,8 +334,11 @@
   ConfigurationStore served_;     ///< Configuration served here.
   EvacuationSet committed_evacuations_;  ///< As committed_.
   EvacuationSet evacuations_;            ///< In force here.
-  LogIndex last_applied_;                ///< Last entry applied to committed_.
-  size_t log_bytes_ = 0;  ///< Bytes of entries since the last snapshot.
+  /** Index of the newest order about a data centre that is known here, or a
+   * higher one. */
+  uint64_t newest_order_ = 0;
+  LogIndex last_applied_;  ///< Last entry applied to committed_.
+  size_t log_bytes_ = 0;   ///< Bytes of entries since the last snapshot.
   std::vector<PendingProposal> pending_proposals_;  ///< Made here as leader.
   /** Operations started at this gateway. */
   std::map<OperationId, PendingOperation> pending_operations_;
--- a/src/coordination/gateway/registry_evacuations.cc
+++ b/src/coordination/gateway/registry_evacuations.cc
@@ -5,6 +5,15 @@
 #include "coordination/gateway/registry_core.h"
 
 namespace gv {
+namespace {
+
+/** @return The order for log lines. */
+std::string DescribeOrder(const EvacuationOrder& order) {
+  return (order.withdrawn_ ? "withdraw:" : "evacuate:") +
+         order.data_centre_.Value();
+}
+
+}  // namespace
 
 OperationId RegistryCore::SubmitEvacuation(TimePoint now, TimePoint issued,
                                            EvacuationOrder order, Outbox& out) {
@@ -14,6 +23,21 @@
   return BeginOperation(now, std::move(operation), out);
 }
 
+void RegistryCore::SendEvacuation(TimePoint now, OperationId id,
+                                  const PendingOperation& operation,
+                                  Outbox& out) const {
+  const EvacuationOrder& order = *operation.evacuation_;
+  Record(EventId::kEvacuationForwarded,
+         "operation=" + std::to_string(id.Value()) +
+             " leader=" + leader_.Value() + " order=" + DescribeOrder(order) +
+             " based_on=" + std::to_string(newest_order_) +
+             " age_ms=" + std::to_string((now - operation.issued_).Ms()),
+         out);
+  out.Send(ControlEndpoint(leader_),
+           EvacuationForward{id, order.data_centre_, order.withdrawn_,
+                             newest_order_});
+}
+
 void RegistryCore::OnEvacuationForward(TimePoint now, const Endpoint& from,
                                        const EvacuationForward& forward,
                                        Outbox& out) {
@@ -27,35 +51,22 @@
     return;
   }
   const EvacuationOrder order{forward.data_centre_, forward.withdrawn_};
-  // While another order for the data centre is on its way to the disks, the
-  // committed state does not tell what this one will change.
-  const bool is_contested =
-      std::any_of(pending_proposals_.begin(), pending_proposals_.end(),
-                  [&order](const PendingProposal& proposal) {
-                    return proposal.evacuates_ == order.data_centre_;
-                  });
-  const bool is_done =
-      committed_evacuations_.Contains(order.data_centre_) == !order.withdrawn_;
-  if (is_done && !is_contested) {
-    out.Send(from, ChangeOutcome{forward.operation_, true});
-    return;
-  }
-  if (forward.based_on_ < committed_evacuations_.Revision()) {
+  if (forward.based_on_ < newest_order_) {
+    // The operator may have given this one up before the newest was accepted.
+    // An operation that is still awaited is sent again after the push.
     Record(EventId::kEvacuationOutdated,
            "gateway=" + from.node_.Value() +
                " operation=" + std::to_string(forward.operation_.Value()) +
-               " data_centre=" + order.data_centre_.Value() +
-               (order.withdrawn_ ? " end" : " begin") +
+               " order=" + DescribeOrder(order) +
                " based_on=" + std::to_string(forward.based_on_) +
-               " newest=" + std::to_string(committed_evacuations_.Revision()),
+               " newest_order=" + std::to_string(newest_order_),
            out);
-    // A copy of an order that was delayed on its way must not undo an order
-    // that was acknowledged since. A pending order is sent again after the
-    // push.
     out.Send(from, MakeEvacuationPush());
     out.Send(from, ChangeOutcome{forward.operation_, false});
     return;
   }
+  // Orders that change nothing get an entry, too, which makes older copies of
+  // other orders outdated.
   const Result<LogIndex> index = replica_->Propose(
       now, EntryKind::kCommand, EncodeEvacuationEntry(order), out);
   if (!index.has_value()) {
@@ -63,14 +74,14 @@
     out.Send(from, ChangeOutcome{forward.operation_, false});
     return;
   }
-  pending_proposals_.push_back(
-      PendingProposal{index.value(), replica_->CurrentTerm(), from,
-                      forward.operation_, order.data_centre_});
+  pending_proposals_.push_back(PendingProposal{
+      index.value(), replica_->CurrentTerm(), from, forward.operation_});
 }
 
 void RegistryCore::OnEvacuationEntry(const LogEntry& entry,
                                      const EvacuationOrder& order,
                                      Outbox& out) {
+  newest_order_ = std::max(newest_order_, entry.index_.Value());
   if (!committed_evacuations_.Apply(order, entry.index_.Value())) {
     return;
   }
@@ -101,10 +112,11 @@
 
 EvacuationPush RegistryCore::MakeEvacuationPush() const {
   return EvacuationPush{committed_evacuations_.Revision(),
-                        committed_evacuations_.Names()};
+                        committed_evacuations_.Names(), newest_order_};
 }
 
 void RegistryCore::OnEvacuationPush(const EvacuationPush& push, Outbox& out) {
+  newest_order_ = std::max({newest_order_, push.newest_order_, push.revision_});
   ServeEvacuations(EvacuationSet::FromNames(push.revision_, push.data_centres_),
                    out);
 }
--- a/src/protocol/registry_messages.h
+++ b/src/protocol/registry_messages.h
@@ -39,8 +39,9 @@
 
 /** The evacuated data centres, from a member to a gateway with older ones. */
 struct EvacuationPush {
-  uint64_t revision_ = 0;     ///< Index of the log entry of the last change.
-  std::string data_centres_;  ///< All of them, separated by commas.
+  uint64_t revision_ = 0;      ///< Index of the log entry of the last change.
+  std::string data_centres_;   ///< All of them, separated by commas.
+  uint64_t newest_order_ = 0;  ///< Index of the log entry of the last order.
 };
 
 /** An operator's order about a data centre, on its way to the leader, which
@@ -49,8 +50,8 @@
   OperationId operation_;     ///< Matches ChangeOutcome.
   DataCentreId data_centre_;  ///< Which data centre.
   bool withdrawn_ = false;    ///< The evacuation ends.
-  uint64_t based_on_ = 0;     ///< Revision of the evacuations that the sender
-                              ///< obeys.
+  uint64_t based_on_ = 0;     ///< Index of the newest order that the sender
+                              ///< knew while the operator waited.
 };
 
 /** A whole configuration, from a member to a gateway that has an older one. */
--- a/src/state/table/events.h
+++ b/src/state/table/events.h
@@ -127,7 +127,8 @@
      "An order names a data centre that is malformed or unknown."},
     {EventId::kEvacuationForwarded, "evacuation-forwarded", EventLevel::kInfo,
      "A gateway sent an order about a data centre to the leader; with the "
-     "order that it follows, and the time that it may have waited unread."},
+     "newest order that it knows, and the time for which the operator may have "
+     "waited."},
     {EventId::kEvacuationOutdated, "evacuation-outdated", EventLevel::kInfo,
      "The leader did not carry out an order, as another one was accepted since "
      "it was forwarded."},
--- a/src/transport/gateway/gateway_evacuations.cc
+++ b/src/transport/gateway/gateway_evacuations.cc
@@ -51,6 +51,12 @@
     done(TextReply(kNotFound, "data centre " + name + " is not known\n"));
     return;
   }
+  if (origin.has_left_()) {
+    Record(EventId::kEvacuationOutdated,
+           "data_centre=" + name + " the operator has closed its connection");
+    done(TextReply(kUnavailable, "the connection was closed\n"));
+    return;
+  }
   Outbox out(Endpoint{self_, Port::kControl});
   const TimePoint issued = pauses_.SentAfter(Now(), origin.arrived_after_);
   AnswerWhenAccepted(registry_.SubmitEvacuation(Now(), issued, order, out),
--- a/tests/registry_evacuation_test.cc
+++ b/tests/registry_evacuation_test.cc
@@ -180,6 +180,72 @@
   CHECK(AllAgree(group, false));
 }
 
+// A withdrawal that a frozen gateway read only when it woke, seconds after its
+// operator had given it up, ended the evacuation that was acknowledged since.
+TEST_CASE("evacuation: an order given up before a freeze is not carried out") {
+  constexpr Duration kFreeze = 6800_ms;
+  for (const char* frozen : {"d1", "d2", "d3", "e1"}) {
+    CAPTURE(frozen);
+    RegistryGroup group(3, 2, 11);
+    group.Run(5_s);
+    REQUIRE(group.Evacuate("e2", kWest) == OperationState::kAccepted);
+    group.Run(kInForce);
+    group.Freeze(frozen);
+    group.Run(1_s);
+    REQUIRE(Repeat(group, "e2", kWest, true));
+    REQUIRE(Repeat(group, "e2", kWest, false));
+    group.Run(kFreeze - 2_s);
+    group.Thaw(frozen);
+    // It reads the order before or after it has learnt the newest state.
+    for (const Duration pause : {Duration(0), 300_ms}) {
+      group.Run(pause);
+      CHECK(group.Await(frozen,
+                        group.BeginEvacuation(frozen, kWest, true, kFreeze)) ==
+            OperationState::kUnknown);
+    }
+    group.Run(kInForce);
+    CHECK(AllAgree(group, true));
+  }
+}
+
+// A gateway that woke sent a pending order, now with the newest state, before
+// it noticed that the time of the order was over.
+TEST_CASE("evacuation: a pending order does not outlive a freeze") {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    RegistryGroup group(3, 2, seed);
+    group.Run(5_s);
+    REQUIRE(group.Evacuate("e1", kWest) == OperationState::kAccepted);
+    group.Run(kInForce);
+    // It does not know the leader yet, so the order waits.
+    group.Add("e3", false);
+    const OperationId late = group.BeginEvacuation("e3", kWest, true);
+    group.Run(2_ms);
+    group.Freeze("e3");
+    group.Run(100_ms);
+    REQUIRE(Repeat(group, "e1", kWest, true));
+    REQUIRE(Repeat(group, "e1", kWest, false));
+    group.Run(1_s);
+    group.Thaw("e3");
+    CHECK(group.Await("e3", late) == OperationState::kUnknown);
+    group.Run(kInForce);
+    CHECK(AllAgree(group, true));
+  }
+}
+
+// A withdrawal without an effect was acknowledged without an entry. A copy of
+// the order that it withdrew then still passed as based on the newest state.
+TEST_CASE("evacuation: a late copy does not undo an effectless withdrawal") {
+  RegistryGroup group(3, 2, 12);
+  group.Run(5_s);
+  const uint64_t before = group.Core("e1").Evacuations().Revision();
+  REQUIRE(group.Evacuate("e2", kWest, true) == OperationState::kAccepted);
+  group.AskLeader("e1", EvacuationForward{OperationId(99), DataCentreId(kWest),
+                                          false, before});
+  group.Run(3_s);
+  CHECK(AllAgree(group, false));
+}
+
 TEST_CASE("evacuation: a leader refuses names that would break the encoding") {
   RegistryGroup group(3, 1, 4);
   group.Run(5_s);
--- a/tests/support/registry_group.cc
+++ b/tests/support/registry_group.cc
@@ -127,6 +127,14 @@
   }
 }
 
+void RegistryGroup::Thaw(const std::string& name) {
+  RegistryHost& host = Host(name);
+  host.is_frozen_ = false;
+  for (const Envelope& envelope : std::exchange(host.held_, {})) {
+    Step(host, envelope);
+  }
+}
+
 void RegistryGroup::Run(Duration duration) {
   const TimePoint end = now_ + duration;
   while (now_ < end) {
@@ -139,11 +147,16 @@
         host.retry_replies_.push_back(*retry);
       } else if (limit != nullptr) {
         host.limit_replies_.push_back(*limit);
+      } else if (host.is_frozen_) {
+        host.held_.push_back(envelope);
       } else if (host.core_) {
         Step(host, envelope);
       }
     }
     for (auto& [name, host] : hosts_) {
+      if (host.is_frozen_) {
+        continue;
+      }
       if (host.core_ && now_ >= host.reopen_at_) {
         host.reopen_at_ = TimePoint::Never();
         OpenDisk(host);
@@ -201,11 +214,12 @@
 
 OperationId RegistryGroup::BeginEvacuation(const std::string& at,
                                            const std::string& data_centre,
-                                           bool withdrawn) {
+                                           bool withdrawn, Duration age) {
   OperationId id;
   Act(at, [&](TimePoint now, RegistryCore& core, Outbox& out) {
     id = core.SubmitEvacuation(
-        now, now, EvacuationOrder{DataCentreId(data_centre), withdrawn}, out);
+        now, now - age, EvacuationOrder{DataCentreId(data_centre), withdrawn},
+        out);
   });
   return id;
 }
--- a/tests/support/registry_group.h
+++ b/tests/support/registry_group.h
@@ -34,7 +34,9 @@
   uint64_t starts_ = 0;                    ///< Number of starts so far.
   bool disk_is_full_ = false;              ///< The disk refuses every write.
   TimePoint reopen_at_ = TimePoint::Never();  ///< After a refused write.
-  Duration clock_offset_;  ///< Time by which its clock is ahead.
+  Duration clock_offset_;       ///< Time by which its clock is ahead.
+  bool is_frozen_ = false;      ///< The process stands still.
+  std::vector<Envelope> held_;  ///< Arrived while it stood still.
 };
 
 /** A cluster of simulated gateways. Thread safety: none. */
@@ -57,6 +59,11 @@
   void Crash(const std::string& name);
   /** Starts a stopped process from its disk, with the current seeds_. */
   void Start(const std::string& name);
+  /** From now on the process stands still; its clock and what is sent to it
+   * go on. */
+  void Freeze(const std::string& name) { Host(name).is_frozen_ = true; }
+  /** The process goes on, with what arrived meanwhile. */
+  void Thaw(const std::string& name);
   /** Replaces the disk of a stopped process by an empty one. */
   void Wipe(const std::string& name);
   /** From now on the disk refuses every write, or takes them again. The process
@@ -70,10 +77,11 @@
    * @return Its state; kUnknown after the 2 s. */
   OperationState Change(const std::string& at, uint64_t version,
                         const std::string& text);
-  /** Submits an order about a data centre, without waiting. */
+  /** Submits an order about a data centre, without waiting.
+   * @param age Time since the operator sent it. */
   OperationId BeginEvacuation(const std::string& at,
                               const std::string& data_centre,
-                              bool withdrawn = false);
+                              bool withdrawn = false, Duration age = {});
   /** Submits an order about a data centre and runs until it completes, for at
    * most 2 s. @return Its state; kUnknown after the 2 s. */
   OperationState Evacuate(const std::string& at, const std::string& data_centre,
