Do not carry out departures that their target has given up

DELETE /v1/instances/ID names no start of the target. A gateway that read it when it woke, seconds after the target had given it up, marked the next start under the same id as gone, which had registered at another gateway: no gateway sent it anything until its row was forgotten a minute later.

Change: a departure follows the rule of evacuation orders. It is not carried out once the target may have stopped waiting, or has closed its connection; the answer is 503, and the target calls another gateway.

Test: leaving: an old departure does not remove a later start. Without the age (trial on this tree) it fails at all four kinds of gateways, at every gateway.

--- a/src/coordination/gateway/registry_core.h
+++ b/src/coordination/gateway/registry_core.h
@@ -73,14 +73,17 @@
   void MarkLeaving(const TargetId& id, Outbox& out);
   /**
    * Marks a target as gone after it deregistered, and makes sure that the other
-   * gateways get to know, also if this one stops.
+   * gateways get to know, also if this one stops. A departure whose target may
+   * not wait any more completes as kUnknown and changes nothing: the target may
+   * have started again since.
+   * @param issued The target sent it then or later.
    * @param wall_ms Wall time in milliseconds since 1970.
    * @return The operation whose result is returned by
    * TakeCompletedOperations(): kAccepted once the leader, if it is in touch,
    * and a majority of the members know; only then may the target be told.
    */
-  OperationId Depart(TimePoint now, const TargetId& id, uint64_t wall_ms,
-                     Outbox& out);
+  OperationId Depart(TimePoint now, TimePoint issued, const TargetId& id,
+                     uint64_t wall_ms, Outbox& out);
 
   /** Tells all gateways of an engine that crashed while prompts of this gateway
    * had no answer yet. */
@@ -158,7 +161,7 @@
   /** A target that leaves, until enough members know. */
   struct PendingLeaving {
     TargetId target_;            ///< The target.
-    TimePoint asked_;            ///< When its notice came.
+    TimePoint issued_;           ///< When it sent its notice, or earlier.
     TimePoint next_send_;        ///< When the notice is sent again.
     std::set<NodeId> known_by_;  ///< Members that have answered.
   };
@@ -312,7 +315,9 @@
   void RecordGone(const TargetId& id, std::string detail, Outbox& out) const;
 
   // registry_leaving.cc: targets whose leaving is acknowledged.
-  OperationId ConfirmLeaving(TimePoint now, const TargetId& id, Outbox& out);
+  /** @param issued When the target sent its notice, or earlier. */
+  OperationId ConfirmLeaving(TimePoint now, TimePoint issued,
+                             const TargetId& id, Outbox& out);
   void SendLeaving(TimePoint now, OperationId id, PendingLeaving& leaving,
                    Outbox& out);
   void OnLeavingNotice(TimePoint now, const Endpoint& from,
--- a/src/coordination/gateway/registry_leaving.cc
+++ b/src/coordination/gateway/registry_leaving.cc
@@ -13,12 +13,12 @@
 
 }  // namespace
 
-OperationId RegistryCore::ConfirmLeaving(TimePoint now, const TargetId& id,
-                                         Outbox& out) {
+OperationId RegistryCore::ConfirmLeaving(TimePoint now, TimePoint issued,
+                                         const TargetId& id, Outbox& out) {
   last_operation_ = last_operation_.Next();
   PendingLeaving& leaving = pending_leavings_[last_operation_];
   leaving.target_ = id;
-  leaving.asked_ = now;
+  leaving.issued_ = issued;
   leaving.known_by_ = {settings_.self_};
   if (IsLeavingKnown(now, leaving)) {
     FinishLeaving(now, last_operation_, OperationState::kAccepted, out);
@@ -91,7 +91,7 @@
     PendingLeaving& leaving = pending_leavings_.at(id);
     if (IsLeavingKnown(now, leaving)) {
       FinishLeaving(now, id, OperationState::kAccepted, out);
-    } else if (now - leaving.asked_ >= kOperationTimeout) {
+    } else if (now - leaving.issued_ >= kOperationTimeout) {
       FinishLeaving(now, id, OperationState::kUnknown, out);
     } else if (now >= leaving.next_send_) {
       SendLeaving(now, id, leaving, out);
@@ -112,7 +112,7 @@
       " leader_age_ms=" + std::to_string((now - last_leader_grant_).Ms()) +
       " members=" + std::to_string(MemberIds().size()) +
       " known_by=" + std::to_string(found->second.known_by_.size()) +
-      " waited_ms=" + std::to_string((now - found->second.asked_).Ms());
+      " waited_ms=" + std::to_string((now - found->second.issued_).Ms());
   out.Record(std::move(event));
   pending_leavings_.erase(found);
   completed_.push_back(OperationResult{id, state, 0});
--- a/src/coordination/gateway/registry_targets.cc
+++ b/src/coordination/gateway/registry_targets.cc
@@ -30,7 +30,7 @@
   }
   const bool is_leaving = target.state_ != RegistrationState::kReady &&
                           targets_.Find(target.id_) != nullptr;
-  return is_leaving ? std::optional(ConfirmLeaving(now, target.id_, out))
+  return is_leaving ? std::optional(ConfirmLeaving(now, now, target.id_, out))
                     : std::nullopt;
 }
 
@@ -55,13 +55,25 @@
   out.Record(std::move(event));
 }
 
-OperationId RegistryCore::Depart(TimePoint now, const TargetId& id,
-                                 uint64_t wall_ms, Outbox& out) {
+OperationId RegistryCore::Depart(TimePoint now, TimePoint issued,
+                                 const TargetId& id, uint64_t wall_ms,
+                                 Outbox& out) {
+  if (now - issued >= kOperationTimeout) {
+    Event event;
+    event.id_ = EventId::kDepartureOutdated;
+    event.target_ = id;
+    event.detail_ = "age_ms=" + std::to_string((now - issued).Ms());
+    out.Record(std::move(event));
+    last_operation_ = last_operation_.Next();
+    completed_.push_back(
+        OperationResult{last_operation_, OperationState::kUnknown, 0});
+    return last_operation_;
+  }
   if (targets_.Depart(now, id, wall_ms) != nullptr) {
     RecordGone(id, "the target announced its departure", out);
     QueueChange(id);
   }
-  return ConfirmLeaving(now, id, out);
+  return ConfirmLeaving(now, issued, id, out);
 }
 
 TargetGossip RegistryCore::MakeGossip(TimePoint now,
--- a/src/state/event_type.h
+++ b/src/state/event_type.h
@@ -64,6 +64,7 @@
   kConnectionsClosed = 654,
   kEvacuationForwarded = 655,
   kEvacuationOutdated = 656,
+  kDepartureOutdated = 657,
   kForwardAdmitted = 610,
   kForwardRefused = 611,
   kForwardSent = 612,
--- a/src/state/table/events.h
+++ b/src/state/table/events.h
@@ -19,7 +19,7 @@
   std::string_view meaning_;  ///< For people.
 };
 
-inline constexpr std::array<EventRow, 87> kEvents{{
+inline constexpr std::array<EventRow, 88> kEvents{{
     {EventId::kProcessStarted, "process-started", EventLevel::kInfo,
      "A process started with its roles."},
     {EventId::kProcessStopping, "process-stopping", EventLevel::kInfo,
@@ -130,8 +130,11 @@
      "newest order that it knows, and the time for which the operator may have "
      "waited."},
     {EventId::kEvacuationOutdated, "evacuation-outdated", EventLevel::kInfo,
-     "The leader did not carry out an order, as another one was accepted since "
-     "it was forwarded."},
+     "An order is not carried out, as the operator may have given it up before "
+     "a newer one was accepted."},
+    {EventId::kDepartureOutdated, "departure-outdated", EventLevel::kInfo,
+     "A departure is not carried out, as the target may have given it up and "
+     "started again."},
     {EventId::kConnectionsClosed, "connections-closed", EventLevel::kWarning,
      "Connections were closed or not accepted, as too few descriptors are "
      "left; with their numbers since the last line."},
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -287,7 +287,8 @@
   TargetRegistration CheckWarmUp(TargetRegistration target);
   void OnRegister(const std::string& id, const HttpRequest& request,
                   const HttpService::Respond& done);
-  void OnDepart(const std::string& id, const HttpService::Respond& done);
+  void OnDepart(const std::string& id, const RequestOrigin& origin,
+                const HttpService::Respond& done);
   /** Answers 200 once an operation is accepted, or 503. */
   void AnswerWhenAccepted(OperationId operation,
                           const HttpService::Respond& done);
--- a/src/transport/gateway/gateway_calls.cc
+++ b/src/transport/gateway/gateway_calls.cc
@@ -46,7 +46,7 @@
       OnRegister(call.id_, request, done);
       return;
     case ControlCall::kDepart:
-      OnDepart(call.id_, done);
+      OnDepart(call.id_, origin, done);
       return;
     case ControlCall::kPutConfiguration:
       OnPutConfiguration(request, std::move(done));
@@ -130,14 +130,24 @@
   };
 }
 
-void Gateway::OnDepart(const std::string& id,
+void Gateway::OnDepart(const std::string& id, const RequestOrigin& origin,
                        const HttpService::Respond& done) {
+  if (origin.has_left_()) {
+    Event event;
+    event.id_ = EventId::kDepartureOutdated;
+    event.target_ = TargetId(id);
+    event.detail_ = "the target has closed its connection";
+    Record(event);
+    done(JsonReply(kUnavailable, "{}"));
+    return;
+  }
   if (!registry_.HasRecentStatus(Now())) {
     done(JsonReply(kUnavailable, "{}"));
     return;
   }
   Outbox out(Endpoint{self_, Port::kControl});
-  AnswerWhenAccepted(registry_.Depart(Now(), TargetId(id),
+  const TimePoint issued = pauses_.SentAfter(Now(), origin.arrived_after_);
+  AnswerWhenAccepted(registry_.Depart(Now(), issued, TargetId(id),
                                       static_cast<uint64_t>(WallMs()), out),
                      done);
   CarryOut(out);
--- a/tests/registry_leaving_test.cc
+++ b/tests/registry_leaving_test.cc
@@ -107,6 +107,36 @@
         OperationState::kUnknown);
 }
 
+// A departure that a frozen gateway read only when it woke removed the target's
+// next start, which had registered at another gateway under the same id.
+TEST_CASE("leaving: an old departure does not remove a later start") {
+  constexpr Duration kFreeze = 6800_ms;
+  for (const char* frozen : {"d1", "d2", "d3", "e1"}) {
+    CAPTURE(frozen);
+    RegistryGroup group(3, 2, 4);
+    group.Run(5_s);
+    group.Register("e2", Target(1000, 1));
+    group.Run(700_ms);
+    group.Freeze(frozen);
+    group.Run(3_s);
+    group.Depart("e2", kTarget);
+    group.Run(1_s);
+    for (uint64_t sequence = 1; sequence <= 3; ++sequence) {
+      group.Register("e2", Target(2000, sequence));
+      group.Run(1_s);
+    }
+    group.Thaw(frozen);
+    group.Run(300_ms);
+    CHECK(group.Await(frozen, group.Depart(frozen, kTarget, kFreeze)) ==
+          OperationState::kUnknown);
+    group.Run(1_s);
+    for (const auto& item : group.hosts_) {
+      CHECK_MESSAGE(item.second.core_->Targets().IsReady(TargetId(kTarget)),
+                    item.first);
+    }
+  }
+}
+
 TEST_CASE(
     "leaving: a target that left where it was not known stays unused, and its "
     "next start is used") {
--- a/tests/support/registry_group.cc
+++ b/tests/support/registry_group.cc
@@ -271,11 +271,11 @@
   return leaving;
 }
 
-OperationId RegistryGroup::Depart(const std::string& at,
-                                  const std::string& id) {
+OperationId RegistryGroup::Depart(const std::string& at, const std::string& id,
+                                  Duration age) {
   OperationId operation;
   Act(at, [&](TimePoint now, RegistryCore& core, Outbox& out) {
-    operation = core.Depart(now, TargetId(id), kWallMs, out);
+    operation = core.Depart(now, now - age, TargetId(id), kWallMs, out);
   });
   return operation;
 }
--- a/tests/support/registry_group.h
+++ b/tests/support/registry_group.h
@@ -102,9 +102,11 @@
    * @return If the target leaves, what tells when it is acknowledged. */
   std::optional<OperationId> Register(const std::string& at,
                                       const TargetRegistration& target);
-  /** Deregisters a target at the gateway @p at. @return The operation that
-   * tells when it is acknowledged. */
-  OperationId Depart(const std::string& at, const std::string& id);
+  /** Deregisters a target at the gateway @p at.
+   * @param age Time since the target sent it. @return The operation that tells
+   * when it is acknowledged. */
+  OperationId Depart(const std::string& at, const std::string& id,
+                     Duration age = {});
   /** Runs until an operation of @p at completes, for at most 2 s.
    * @return Its state; kUnknown after the 2 s. */
   OperationState Await(const std::string& at, OperationId id) {
