Count an announced leaving only for the start that announced it

An answer with Server-Leaving that was read late, after its target had started again under the same id, marked the new start as draining at all gateways, and a draining target stays so until it restarts.

Change: an attempt keeps the start of its target, and the directory ignores an announcement of another start.

Test: target directory: a draining target stays draining until it restarts, with an answer of the earlier start.

--- a/src/coordination/gateway/registry_core.h
+++ b/src/coordination/gateway/registry_core.h
@@ -69,8 +69,8 @@
                                             const TargetRegistration& target,
                                             Outbox& out);
   /** Marks a target as draining after it announced in an answer that it is
-   * leaving. */
-  void MarkLeaving(const TargetId& id, Outbox& out);
+   * leaving. @param start_ms The start of the target that answered. */
+  void MarkLeaving(const TargetId& id, uint64_t start_ms, Outbox& out);
   /**
    * Marks a target as gone after it deregistered, and makes sure that the other
    * gateways get to know, also if this one stops. A departure whose target may
@@ -257,11 +257,11 @@
   // registry_evacuations.cc: orders to evacuate a data centre.
   void OnEvacuationForward(TimePoint now, const Endpoint& from,
                            const EvacuationForward& forward, Outbox& out);
+  void SendEvacuation(TimePoint now, OperationId id,
+                      const PendingOperation& operation, Outbox& out) const;
   void OnEvacuationEntry(const LogEntry& entry, const EvacuationOrder& order,
                          Outbox& out);
   void OnEvacuationPush(const EvacuationPush& push, Outbox& out);
-  void SendEvacuation(TimePoint now, OperationId id,
-                      const PendingOperation& operation, Outbox& out) const;
   /** Makes @p newest the set in force here, if it is newer. */
   void ServeEvacuations(const EvacuationSet& newest, Outbox& out);
   EvacuationPush MakeEvacuationPush() const;
--- a/src/coordination/gateway/registry_targets.cc
+++ b/src/coordination/gateway/registry_targets.cc
@@ -34,8 +34,9 @@
                     : std::nullopt;
 }
 
-void RegistryCore::MarkLeaving(const TargetId& id, Outbox& out) {
-  if (!targets_.MarkDraining(id)) {
+void RegistryCore::MarkLeaving(const TargetId& id, uint64_t start_ms,
+                               Outbox& out) {
+  if (!targets_.MarkDraining(id, start_ms)) {
     return;
   }
   Event event;
--- a/src/coordination/gateway/target_directory.cc
+++ b/src/coordination/gateway/target_directory.cc
@@ -132,9 +132,9 @@
   }
 }
 
-bool TargetDirectory::MarkDraining(const TargetId& id) {
+bool TargetDirectory::MarkDraining(const TargetId& id, uint64_t start_ms) {
   const auto found = entries_.find(id);
-  if (found == entries_.end() ||
+  if (found == entries_.end() || found->second.target_.start_ms_ != start_ms ||
       found->second.target_.state_ != RegistrationState::kReady) {
     return false;
   }
--- a/src/coordination/gateway/target_directory.h
+++ b/src/coordination/gateway/target_directory.h
@@ -56,9 +56,11 @@
   /**
    * Marks a ready target as draining, after it announced this in an answer. It
    * stays draining until it restarts.
-   * @return False if the target is unknown, draining already or gone.
+   * @param start_ms The start of the target that answered.
+   * @return False if the target is unknown, has started again since, or is
+   * draining already or gone.
    */
-  bool MarkDraining(const TargetId& id);
+  bool MarkDraining(const TargetId& id, uint64_t start_ms);
 
   /**
    * Marks a target as gone. A target that is not known, as its registration is
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -70,8 +70,9 @@
   struct Attempt {
     /** Connection to the target. */
     std::shared_ptr<TargetConnection> connection_;
-    TargetId target_;    ///< Target that the request was sent to.
-    TimePoint sent_at_;  ///< Its start.
+    TargetId target_;        ///< Target that the request was sent to.
+    uint64_t start_ms_ = 0;  ///< Start of that target.
+    TimePoint sent_at_;      ///< Its start.
     /** Time of the last progress; at first the start. */
     TimePoint last_progress_;
     /** Bytes of an unstreamed answer received since last_progress_ was set. */
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -144,6 +144,7 @@
   Attempt attempt;
   attempt.connection_ = ConnectionTo(entry->target_.address_);
   attempt.target_ = placement.target_;
+  attempt.start_ms_ = entry->target_.start_ms_;
   attempt.sent_at_ = now;
   attempt.is_trial_ = gateway_.Parts().OnSent(now, service_.name_, parts_);
   attempt.last_progress_ = now;
--- a/src/transport/gateway/forward_outcome.cc
+++ b/src/transport/gateway/forward_outcome.cc
@@ -32,7 +32,8 @@
   attempt_->fields_ = fields;
   attempt_->facts_ = gateway_.Codec().read_answer_(status, fields);
   attempt_->last_progress_ = gateway_.Now();
-  gateway_.OnAnswerFacts(attempt_->target_, attempt_->facts_);
+  gateway_.OnAnswerFacts(attempt_->target_, attempt_->start_ms_,
+                         attempt_->facts_);
   if (IsAnswerToThisRequest()) {
     gateway_.OnAnswerLimit(attempt_->target_, attempt_->facts_,
                            attempt_->sent_at_);
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -114,8 +114,10 @@
                      const std::vector<PromptPartId>& parts);
   /** @return Requests and parts of prompts that crash targets. */
   PartQuarantine& Parts() { return registry_.Parts(); }
-  /** Takes in what an answer says of its target beside the answer. */
-  void OnAnswerFacts(const TargetId& target, const AnswerFacts& facts);
+  /** Takes in what an answer says of its target beside the answer.
+   * @param start_ms The start of the target that answered. */
+  void OnAnswerFacts(const TargetId& target, uint64_t start_ms,
+                     const AnswerFacts& facts);
   /** Takes in what an answer says of the limit of its target.
    * @param sent When the request was sent. */
   void OnAnswerLimit(const TargetId& target, const AnswerFacts& facts,
--- a/src/transport/gateway/gateway_calls.cc
+++ b/src/transport/gateway/gateway_calls.cc
@@ -261,10 +261,11 @@
       .Observe(static_cast<double>(time.Ms()));
 }
 
-void Gateway::OnAnswerFacts(const TargetId& target, const AnswerFacts& facts) {
+void Gateway::OnAnswerFacts(const TargetId& target, uint64_t start_ms,
+                            const AnswerFacts& facts) {
   if (facts.is_leaving_) {
     Outbox out(Endpoint{self_, Port::kControl});
-    registry_.MarkLeaving(target, out);
+    registry_.MarkLeaving(target, start_ms, out);
     CarryOut(out);
   }
   if (facts.pause_) {
--- a/tests/gateway_directory_test.cc
+++ b/tests/gateway_directory_test.cc
@@ -87,14 +87,17 @@
   TargetDirectory directory;
   const TimePoint now(1000);
   directory.Merge(now, Target("a", "x:1", 100, 1));
-  CHECK(directory.MarkDraining(TargetId("a")));
-  CHECK_FALSE(directory.MarkDraining(TargetId("a")));
+  CHECK(directory.MarkDraining(TargetId("a"), 100));
+  CHECK_FALSE(directory.MarkDraining(TargetId("a"), 100));
   CHECK(directory.Merge(now, Target("a", "x:1", 100, 2)) == Change::kNone);
   CHECK_FALSE(directory.IsReady(TargetId("a")));
   // A later start with the same id or the same address is ready again.
   CHECK(directory.Merge(now, Target("a", "x:1", 200, 1)) == Change::kChanged);
   CHECK(directory.IsReady(TargetId("a")));
-  CHECK(directory.MarkDraining(TargetId("a")));
+  // An answer of the earlier start says nothing of this one.
+  CHECK_FALSE(directory.MarkDraining(TargetId("a"), 100));
+  CHECK(directory.IsReady(TargetId("a")));
+  CHECK(directory.MarkDraining(TargetId("a"), 200));
   CHECK(directory.Merge(now, Target("b", "x:1", 300, 1)) == Change::kChanged);
   CHECK(directory.IsReady(TargetId("b")));
 }
@@ -115,7 +118,7 @@
   CHECK(one.Digest() == table({b2, a2}).Digest());
   CHECK(one.Digest() != table({b, a2}).Digest());
   const uint64_t before_draining = one.Digest();
-  CHECK(one.MarkDraining(TargetId("a")));
+  CHECK(one.MarkDraining(TargetId("a"), 100));
   CHECK(one.Digest() != before_draining);
   one.Depart(TimePoint(2000), TargetId("a"), 0);
   CHECK(one.Digest() == table({b2}).Digest());
--- a/tests/placement_rows_test.cc
+++ b/tests/placement_rows_test.cc
@@ -84,10 +84,14 @@
         rig_.health_.OnPause(now_, RandomEngine(), 700_ms);
         return;
       default:
-        directory_.MarkDraining(RandomEngine());
+        MarkDraining();
         RegisterRestarted();
     }
   }
+  void MarkDraining() {
+    const TargetId engine = RandomEngine();
+    directory_.MarkDraining(engine, directory_.Find(engine)->target_.start_ms_);
+  }
   void RegisterRestarted() {
     const DirectoryEntry* entry = directory_.Find(RandomEngine());
     TargetRegistration target = entry->target_;
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -275,7 +275,7 @@
   group.Register("e1", MakeTarget("t1", 1000, 1));
   group.Run(500_ms);
   Outbox out(Endpoint{NodeId("e2"), Port::kControl});
-  group.Core("e2").MarkLeaving(TargetId("t1"), out);
+  group.Core("e2").MarkLeaving(TargetId("t1"), 1000, out);
   CHECK_FALSE(group.Core("e2").Targets().IsReady(TargetId("t1")));
   group.Run(500_ms);
   for (const auto& item : group.hosts_) {
