Refuse messages whose end two readers could place differently

Cause: the parser treats an unknown coding of a request as no body, and leaves other doubtful heads to its user.

Change: ScanHead (src/protocol/http_framing.h) decides by the bytes of a head alone, for requests and answers, before the parser gets them: at callers, the control, readiness and metrics listeners, the listener of control and entry processes, and for the answers of targets to gateways. The control listener looks for unread input after an answer only, no more before the first request of a connection.

Not done: the answers that agents and our own command line read.

--- a/src/transport/caller_session.cc
+++ b/src/transport/caller_session.cc
@@ -12,6 +12,7 @@
 #include "state/run_promise.h"
 #include "transport/caller_listener.h"
 #include "transport/http_chunk.h"
+#include "transport/read_head.h"
 
 namespace gv {
 namespace {
@@ -127,6 +128,19 @@
   stream_.expires_after(
       std::chrono::milliseconds(listener_.Settings().idle_timeout_.Ms()));
   boost::system::error_code error;
+  const HeadFault fault = co_await ReadHead(
+      stream_, buffer_, listener_.Settings().max_header_bytes_, []() {}, error);
+  if (fault != HeadFault::kNone) {
+    co_await SendReply(
+        MakeVerdictReply(NotRun(Reason::kBadRequest, std::string("request: ") +
+                                                         HeadFaultText(fault)),
+                         RequestId()),
+        false);
+    co_return false;
+  }
+  if (error) {
+    co_return false;
+  }
   co_await http::async_read(stream_, buffer_, parser,
                             asio::redirect_error(asio::use_awaitable, error));
   if (error) {
--- a/src/transport/gateway/caller_connection.cc
+++ b/src/transport/gateway/caller_connection.cc
@@ -171,6 +171,24 @@
   Refuse(kUnavailable, fields);
 }
 
+bool GatewayCaller::IsHeadSound() {
+  if (head_sound_) {
+    return true;
+  }
+  const HeadScan scan = ScanHead(input_);
+  if (scan.fault_ != HeadFault::kNone) {
+    hooks_.bad_head_(scan.fault_);
+    parser_.reset();
+    input_.clear();
+    Refuse(kBadRequest);
+    return false;
+  }
+  // The parser refuses a head over the limit.
+  head_sound_ = scan.size_ > 0 ||
+                input_.size() > static_cast<size_t>(bounds_.header_bytes_);
+  return head_sound_;
+}
+
 void GatewayCaller::Parse() {
   while (!input_.empty() && !busy_ && !closed_) {
     if (!parser_) {
@@ -179,6 +197,10 @@
       parser_->body_limit(static_cast<uint64_t>(bounds_.body_bytes_));
       parser_->eager(true);
       continued_ = false;
+      head_sound_ = false;
+    }
+    if (!IsHeadSound()) {
+      return;
     }
     boost::system::error_code error;
     const bool is_head = !parser_->is_header_done();
--- a/src/transport/gateway/caller_connection.h
+++ b/src/transport/gateway/caller_connection.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 
+#include "protocol/http_framing.h"
 #include "state/clock_type.h"
 #include "transport/gateway/wire_codec.h"
 
@@ -40,6 +41,8 @@
   std::function<void(size_t)> held_;
   /** @return True if memory is left for one more read. */
   std::function<bool()> may_read_;
+  /** A request was refused, as its end is in doubt. */
+  std::function<void(HeadFault)> bad_head_;
 };
 
 /**
@@ -100,6 +103,9 @@
   void Continue();
   void PostContinue();
   void Parse();
+  /** @return True if the parser may have the input. Refuses a request whose end
+   * is in doubt. */
+  bool IsHeadSound();
   void Refuse(unsigned status, const HttpFields& fields = {});
   void NoteHeld();
   void Send(std::string_view text);
@@ -130,6 +136,7 @@
   bool close_after_ = false;             ///< Close once all is written.
   bool closed_ = false;                  ///< At the end.
   bool continued_ = false;               ///< "100 Continue" was sent.
+  bool head_sound_ = false;              ///< The request's end is certain.
 };
 
 }  // namespace gv
--- a/src/transport/gateway/gateway.cc
+++ b/src/transport/gateway/gateway.cc
@@ -104,18 +104,23 @@
           [this](const HttpRequest& request, const RequestOrigin& /*origin*/,
                  const HttpService::Respond& done) {
             OnReadiness(request, done);
-          }),
-      control_(io_, memory_, shares_.service_,
-               [this](const HttpRequest& request, const RequestOrigin& origin,
-                      HttpService::Respond done) {
-                 OnControl(request, origin, std::move(done));
-               }),
-      metrics_(io_, memory_, shares_.service_,
-               [this](const HttpRequest& /*request*/,
-                      const RequestOrigin& /*origin*/,
-                      const HttpService::Respond& done) {
-                 done(MakeReply(200, "text/plain", MetricsText()));
-               }),
+          },
+          [this](HeadFault fault) { RecordBadHead("readiness", fault); }),
+      control_(
+          io_, memory_, shares_.service_,
+          [this](const HttpRequest& request, const RequestOrigin& origin,
+                 HttpService::Respond done) {
+            OnControl(request, origin, std::move(done));
+          },
+          [this](HeadFault fault) { RecordBadHead("control", fault); }),
+      metrics_(
+          io_, memory_, shares_.service_,
+          [this](const HttpRequest& /*request*/,
+                 const RequestOrigin& /*origin*/,
+                 const HttpService::Respond& done) {
+            done(MakeReply(200, "text/plain", MetricsText()));
+          },
+          [this](HeadFault fault) { RecordBadHead("metrics", fault); }),
       tick_(io_),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       last_placement_request_(SeedOfStart(settings_) / 2),
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -133,6 +133,8 @@
   void Record(const Event& event);
   /** Records what concerns the process as a whole. */
   void Record(EventId id, std::string detail);
+  /** Records that a request was refused, as its end is in doubt. */
+  void RecordBadHead(const std::string& listener, HeadFault fault);
   /** Counts an ended request. */
   void Count(RouteKind kind, const char* outcome);
   /** Counts a refusal as not run. @param was_sent An attempt preceded it. */
--- a/src/transport/gateway/gateway_callers.cc
+++ b/src/transport/gateway/gateway_callers.cc
@@ -97,7 +97,8 @@
         const bool may_read = memory_.HasRoom(kRoomOfRead);
         reading_put_off_ = reading_put_off_ || !may_read;
         return may_read;
-      }});
+      },
+      [this](HeadFault fault) { RecordBadHead("callers", fault); }});
 }
 
 std::vector<std::shared_ptr<GatewayCaller>> Gateway::OpenCallers() const {
--- a/src/transport/gateway/gateway_calls.cc
+++ b/src/transport/gateway/gateway_calls.cc
@@ -240,6 +240,11 @@
   Record(event);
 }
 
+void Gateway::RecordBadHead(const std::string& listener, HeadFault fault) {
+  Record(EventId::kBadInput,
+         "listener=" + listener + " request refused: " + HeadFaultText(fault));
+}
+
 void Gateway::Count(RouteKind kind, const char* outcome) {
   requests_
       .Add({{"kind", std::string(NameOf(kRouteKindNames, kind))},
--- a/src/transport/gateway/http_service.cc
+++ b/src/transport/gateway/http_service.cc
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "transport/listen.h"
+#include "transport/read_head.h"
 #include "transport/steady_clock.h"
 
 namespace gv {
@@ -48,6 +49,10 @@
   return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+/** The parser takes no longer head. */
+constexpr size_t kMostHeadBytes = 8192;
+constexpr unsigned kBadRequest = 400;
+
 /** Where a late answer meets the coroutine that waits for it. */
 struct Pending {
   explicit Pending(const asio::any_io_executor& executor) : timer_(executor) {}
@@ -152,6 +157,42 @@
   }
 }
 
+asio::awaitable<bool> HttpService::ReadRequest(Connection& connection,
+                                               beast::flat_buffer& buffer,
+                                               RequestParser& parser,
+                                               MemoryHolder& holder) {
+  boost::system::error_code error;
+  auto token = asio::redirect_error(asio::use_awaitable, error);
+  asio::ip::tcp::socket& socket = connection.socket_;
+  parser.body_limit(kMostBodyBytes);
+  parser.eager(true);
+  connection.since_ = BootNow();
+  // Requests that were sent ahead are in the buffer.
+  connection.has_bytes_ = buffer.size() > 0;
+  const auto note_bytes = [&]() {
+    if (!std::exchange(connection.has_bytes_, true)) {
+      connection.since_ = BootNow();
+    }
+    holder.Set(kConnectionBytes + buffer.capacity() +
+               parser.get().body().capacity());
+  };
+  const HeadFault fault =
+      co_await ReadHead(socket, buffer, kMostHeadBytes, note_bytes, error);
+  if (!error && fault != HeadFault::kNone) {
+    bad_head_(fault);
+    HttpReply refusal = MakeReply(kBadRequest, "text/plain",
+                                  std::string(HeadFaultText(fault)) + "\n");
+    refusal.keep_alive(false);
+    co_await http::async_write(socket, refusal, token);
+    co_return false;
+  }
+  while (!error && !parser.is_done()) {
+    co_await http::async_read_some(socket, buffer, parser, token);
+    note_bytes();
+  }
+  co_return !error;
+}
+
 asio::awaitable<void> HttpService::Serve(
     std::shared_ptr<Connection> connection) {
   /** Forgets the connection however its coroutine ends. */
@@ -172,25 +213,9 @@
   });
   holder.Set(kConnectionBytes);
   while (true) {
-    http::request_parser<http::string_body> parser;
-    parser.body_limit(kMostBodyBytes);
-    parser.eager(true);
-    connection->since_ = BootNow();
-    // Requests that were sent ahead are in the buffer.
-    connection->has_bytes_ = buffer.size() > 0;
-    if (!connection->has_bytes_ && !HasUnreadInput(socket)) {
-      connection->quiet_at_ = BootNow();
-    }
-    while (!parser.is_done()) {
-      co_await http::async_read_some(socket, buffer, parser, token);
-      if (error) {
-        co_return;
-      }
-      if (!std::exchange(connection->has_bytes_, true)) {
-        connection->since_ = BootNow();
-      }
-      holder.Set(kConnectionBytes + buffer.capacity() +
-                 parser.get().body().capacity());
+    RequestParser parser;
+    if (!co_await ReadRequest(*connection, buffer, parser, holder)) {
+      co_return;
     }
     auto pending = std::make_shared<Pending>(socket.get_executor());
     pending->timer_.expires_at(asio::steady_timer::time_point::max());
@@ -217,6 +242,9 @@
       co_return;
     }
     holder.Set(kConnectionBytes + buffer.capacity());
+    if (buffer.size() == 0 && !HasUnreadInput(socket)) {
+      connection->quiet_at_ = BootNow();
+    }
   }
 }
 
--- a/src/transport/gateway/http_service.h
+++ b/src/transport/gateway/http_service.h
@@ -5,7 +5,9 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cstdint>
 #include <functional>
@@ -14,6 +16,7 @@
 #include <string>
 #include <utility>
 
+#include "protocol/http_framing.h"
 #include "state/clock_type.h"
 #include "state/verdict_type.h"
 #include "transport/gateway/memory_keeper.h"
@@ -39,17 +42,20 @@
   using Respond = std::function<void(HttpReply)>;
   using Handler =
       std::function<void(HttpRequest, const RequestOrigin&, Respond)>;
+  /** Told of a request that is refused, as its end is in doubt. */
+  using BadHead = std::function<void(HeadFault)>;
 
   /** @param memory Bounds what all connections hold; outlives the service.
    * @param most_connections That may be open at the same time. */
   HttpService(boost::asio::io_context& io, MemoryKeeper& memory,
-              size_t most_connections, Handler handler)
+              size_t most_connections, Handler handler, BadHead bad_head)
       : io_(io),
         memory_(memory),
         most_connections_(most_connections),
         acceptor_(io),
         accept_again_(io),
-        handler_(std::move(handler)) {}
+        handler_(std::move(handler)),
+        bad_head_(std::move(bad_head)) {}
 
   /** Listens on "IP:port". @return Nothing, or a verdict with the address. */
   Result<void> Listen(const std::string& address);
@@ -66,6 +72,9 @@
   uint64_t TakeClosed() { return std::exchange(closed_, 0); }
 
  private:
+  using RequestParser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+
   /** One connection. */
   struct Connection {
     explicit Connection(boost::asio::ip::tcp::socket socket)
@@ -80,6 +89,12 @@
   void Accept();
   bool MakeRoom();
   boost::asio::awaitable<void> Serve(std::shared_ptr<Connection> connection);
+  /** @return True once @p parser holds a whole request. Refuses a request whose
+   * end is in doubt. */
+  boost::asio::awaitable<bool> ReadRequest(Connection& connection,
+                                           boost::beast::flat_buffer& buffer,
+                                           RequestParser& parser,
+                                           MemoryHolder& holder);
 
   boost::asio::io_context& io_;  ///< Runs all connections.
   MemoryKeeper& memory_;         ///< Bounds what they hold.
@@ -92,6 +107,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;  ///< Of the address.
   boost::asio::steady_timer accept_again_;   ///< After a failed accept.
   Handler handler_;                          ///< Answers requests.
+  BadHead bad_head_;                         ///< For log lines.
 };
 
 }  // namespace gv
--- a/src/transport/gateway/target_connection.cc
+++ b/src/transport/gateway/target_connection.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
+#include "protocol/http_framing.h"
 #include "state/address_func.h"
 #include "transport/gateway/memory_keeper.h"
 
@@ -108,6 +109,7 @@
   parser_->body_limit(boost::none);
   parser_->eager(true);
   parser_->skip(is_head_);
+  head_sound_ = false;
   head_passed_ = false;
 }
 
@@ -204,8 +206,25 @@
   }
 }
 
+bool TargetConnection::IsHeadSound() {
+  if (head_sound_) {
+    return true;
+  }
+  const HeadScan scan = ScanHead(input_);
+  if (scan.fault_ != HeadFault::kNone ||
+      (scan.size_ == 0 && input_.size() > kMostHeaderBytes)) {
+    Break();
+    return false;
+  }
+  head_sound_ = scan.size_ > 0;
+  return head_sound_;
+}
+
 bool TargetConnection::Parse() {
   while (!input_.empty()) {
+    if (!IsHeadSound()) {
+      return !closed_;
+    }
     boost::system::error_code error;
     const size_t used = parser_->put(asio::buffer(input_), error);
     input_.erase(0, used);
--- a/src/transport/gateway/target_connection.h
+++ b/src/transport/gateway/target_connection.h
@@ -90,6 +90,9 @@
   void NoteUnparsed();
   void OnReadError(const boost::system::error_code& error);
   bool Parse();
+  /** @return True if the parser may have the input. Breaks the connection if
+   * the end of the answer is in doubt. */
+  bool IsHeadSound();
   void ResetParser();
   void PassHead();
   void PassBody();
@@ -117,6 +120,7 @@
   bool write_failed_ = false;  ///< In this exchange.
   bool reading_ = false;       ///< A read is in progress.
   bool paused_ = false;        ///< By SetPaused.
+  bool head_sound_ = false;    ///< The end of this answer is certain.
   bool head_passed_ = false;   ///< Of this answer.
   bool is_head_ = false;       ///< The answer has no body.
   bool keep_ = true;           ///< The target keeps it open.
--- a/tests/fuzz/platform_fuzz.cc
+++ b/tests/fuzz/platform_fuzz.cc
@@ -10,6 +10,8 @@
 #include "coordination/gateway/event_splitter.h"
 #include "coordination/gateway/routing_table.h"
 #include "platform/platform_codec.h"
+#include "protocol/http_framing.h"
+#include "tests/support/request_heads.h"
 
 namespace {
 
@@ -49,6 +51,24 @@
            second->Names() == set->Names()));
 }
 
+/** A head that comes in two pieces is judged alike, and no further bytes make a
+ * doubtful head sound. */
+void ScanHeads(std::string_view bytes) {
+  const gv::HeadScan whole = gv::ScanHead(bytes);
+  const gv::HeadScan part = gv::ScanHead(bytes.substr(0, bytes.size() / 2));
+  Require(part.fault_ == gv::HeadFault::kNone ||
+          whole.fault_ != gv::HeadFault::kNone);
+  Require(part.size_ == 0 || part.size_ == whole.size_);
+  const size_t number = bytes.empty() ? 0 : static_cast<uint8_t>(bytes[0]);
+  const gv::RequestHeadRow& row =
+      gv::kRequestHeads.at(number % gv::kRequestHeads.size());
+  const gv::HeadScan more =
+      gv::ScanHead("POST / HTTP/1.1\r\n" + std::string(row.fields_) +
+                   std::string(bytes.substr(bytes.empty() ? 0 : 1)));
+  Require(row.fault_ == gv::HeadFault::kNone || more.size_ == 0 ||
+          more.fault_ != gv::HeadFault::kNone);
+}
+
 /** The same bytes in two pieces give the same events. */
 void SplitEvents(std::string_view bytes) {
   gv::EventSplitter whole(std::nullopt);
@@ -78,6 +98,7 @@
     (void)gv::platform::Codec().read_control_(method, bytes);
   }
   ReadEvacuations(bytes);
+  ScanHeads(bytes);
   ReadHeaders(bytes);
   SplitEvents(bytes);
   return 0;
--- a/tests/platform/gateway_rig.h
+++ b/tests/platform/gateway_rig.h
@@ -42,6 +42,11 @@
   boost::asio::ip::tcp::socket Connect(boost::asio::io_context& io) const {
     return ConnectTo(1, io);
   }
+  /** @return An open connection to the readiness address. */
+  boost::asio::ip::tcp::socket ConnectReadiness(
+      boost::asio::io_context& io) const {
+    return ConnectTo(2, io);
+  }
   /** @return An open connection to the control address. */
   boost::asio::ip::tcp::socket ConnectControl(
       boost::asio::io_context& io) const {
