--- a/tests/platform/scripted_target.cc
+++ b/tests/platform/scripted_target.cc
@@ -2,10 +2,14 @@
 #include "platform/scripted_target.h"
 
 #include <poll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <memory>
+#include <utility>
 
 #include "transport/http_chunk.h"
 
@@ -90,65 +94,110 @@
 ScriptedTarget::ScriptedTarget(Script script)
     : script_(std::move(script)),
       acceptor_(io_, {asio::ip::address_v4::loopback(), 0}),
+      wake_(eventfd(0, EFD_NONBLOCK)),
       address_("127.0.0.1:" +
                std::to_string(acceptor_.local_endpoint().port())),
-      accepting_([this]() { Accept(); }) {}
+      watcher_([this]() { Watch(); }) {}
 
-void ScriptedTarget::Accept() {
+void ScriptedTarget::Watch() {
   while (!stopping_ && !crashed_) {
-    error_code error;
-    tcp::socket socket(io_);
-    acceptor_.accept(socket, error);
-    if (error || stopping_ || crashed_) {
-      continue;
+    std::vector<pollfd> watched{{wake_, POLLIN, 0},
+                                {acceptor_.native_handle(), POLLIN, 0}};
+    {
+      const std::scoped_lock lock(mutex_);
+      for (Connection& connection : idle_) {
+        watched.push_back({connection.socket_.native_handle(), POLLIN, 0});
+      }
     }
-    // A reset drops what waits for the peer's acknowledgement.
-    socket.set_option(tcp::no_delay(true), error);
+    poll(watched.data(), watched.size(), -1);
+    uint64_t ignored = 0;
+    static_cast<void>(read(wake_, &ignored, sizeof(ignored)));
+    JoinFinished();
+    std::vector<bool> has_input;
+    for (size_t i = 2; i < watched.size(); ++i) {
+      has_input.push_back(watched[i].revents != 0);
+    }
+    StartThreads(has_input);
+    if (watched[1].revents != 0 && !stopping_ && !crashed_) {
+      Accept();
+    }
+  }
+  const std::scoped_lock lock(mutex_);
+  for (const Connection& connection : idle_) {
+    open_.erase(connection.number_);
+  }
+  idle_.clear();
+}
+
+void ScriptedTarget::Accept() {
+  error_code error;
+  tcp::socket socket(io_);
+  acceptor_.accept(socket, error);
+  if (error) {
+    return;
+  }
+  // A reset drops what waits for the peer's acknowledgement.
+  socket.set_option(tcp::no_delay(true), error);
+  const std::scoped_lock lock(mutex_);
+  const uint64_t number = ++last_connection;
+  open_[number] = socket.native_handle();
+  idle_.push_back(Connection{number, std::move(socket)});
+}
+
+void ScriptedTarget::JoinFinished() {
+  std::vector<std::thread> finished;
+  {
     const std::scoped_lock lock(mutex_);
-    const uint64_t number = ++last_connection;
-    open_[number] = socket.native_handle();
-    waiting_.push_back(Accepted{number, std::move(socket)});
-    if (waiting_.size() > idle_threads_) {
-      threads_.emplace_back([this]() { RunThread(); });
+    for (const std::thread::id id : std::exchange(finished_, {})) {
+      finished.push_back(std::move(threads_.extract(id).mapped()));
     }
-    has_work_.notify_one();
+  }
+  for (std::thread& thread : finished) {
+    thread.join();
   }
 }
 
-void ScriptedTarget::RunThread() {
-  std::unique_lock lock(mutex_);
-  while (true) {
-    ++idle_threads_;
-    has_work_.wait(lock, [this]() { return is_over_ || !waiting_.empty(); });
-    --idle_threads_;
-    if (waiting_.empty()) {
-      return;
+void ScriptedTarget::StartThreads(const std::vector<bool>& has_input) {
+  const std::scoped_lock lock(mutex_);
+  std::vector<Connection> quiet;
+  for (size_t i = 0; i < idle_.size(); ++i) {
+    // Connections that became idle meanwhile stand at the end.
+    if (i >= has_input.size() || !has_input[i]) {
+      quiet.push_back(std::move(idle_[i]));
+      continue;
     }
-    Accepted accepted = std::move(waiting_.front());
-    waiting_.pop_front();
-    lock.unlock();
-    Serve(std::move(accepted));
-    lock.lock();
+    char byte = 0;
+    if (recv(idle_[i].socket_.native_handle(), &byte, 1, MSG_PEEK) <= 0) {
+      open_.erase(idle_[i].number_);
+      idle_[i].socket_.close();
+      continue;
+    }
+    std::thread thread(
+        [this, taken = std::make_shared<Connection>(std::move(idle_[i]))]() {
+          Serve(std::move(*taken));
+          const std::scoped_lock done(mutex_);
+          finished_.push_back(std::this_thread::get_id());
+          WakeWatcher();
+        });
+    const std::thread::id id = thread.get_id();
+    threads_.emplace(id, std::move(thread));
   }
+  idle_ = std::move(quiet);
+}
+
+void ScriptedTarget::WakeWatcher() const {
+  constexpr uint64_t kOne = 1;
+  static_cast<void>(write(wake_, &kOne, sizeof(kOne)));
 }
 
 ScriptedTarget::~ScriptedTarget() {
   stopping_ = true;
-  asio::io_context io;
-  tcp::socket wake(io);
-  error_code ignored;
-  if (!crashed_) {
-    wake.connect(acceptor_.local_endpoint(), ignored);
-  }
-  accepting_.join();
-  {
-    const std::scoped_lock lock(mutex_);
-    is_over_ = true;
-  }
-  has_work_.notify_all();
-  for (std::thread& thread : threads_) {
+  WakeWatcher();
+  watcher_.join();
+  for (auto& [id, thread] : threads_) {
     thread.join();
   }
+  close(wake_);
 }
 
 void ScriptedTarget::Crash() {
@@ -169,10 +218,15 @@
   return requests_;
 }
 
-void ScriptedTarget::Serve(Accepted accepted) {
-  const auto forget = [this, &accepted]() { Forget(accepted.number_); };
-  ServeRequests(accepted, forget);
-  forget();
+void ScriptedTarget::Serve(Connection connection) {
+  while (ServeRequest(connection)) {
+    if (connection.input_.empty()) {
+      const std::scoped_lock lock(mutex_);
+      idle_.push_back(std::move(connection));
+      return;
+    }
+  }
+  Forget(connection.number_);
 }
 
 void ScriptedTarget::Forget(uint64_t connection) {
@@ -180,42 +234,38 @@
   open_.erase(connection);
 }
 
-void ScriptedTarget::ServeRequests(Accepted& accepted,
-                                   const std::function<void()>& closing) {
-  tcp::socket& socket = accepted.socket_;
-  std::string input;
-  while (!stopping_ && !crashed_) {
-    error_code error;
-    const size_t head = asio::read_until(socket, asio::dynamic_buffer(input),
-                                         "\r\n\r\n", error);
-    if (error) {
-      return;
-    }
-    TargetRequest request;
-    request.connection_ = accepted.number_;
-    request.line_ = input.substr(0, input.find("\r\n"));
-    request.head_ =
-        input.substr(request.line_.size(), head - request.line_.size());
-    input.erase(0, head);
-    const std::string length = request.Header("Content-Length");
-    const size_t size = length.empty() ? 0 : std::stoul(length);
-    while (input.size() < size && !error) {
-      std::string more(size - input.size(), '\0');
-      more.resize(socket.read_some(asio::buffer(more), error));
-      input += more;
-    }
-    request.body_ = input.substr(0, size);
-    input.erase(0, size);
-    {
-      const std::scoped_lock lock(mutex_);
-      requests_.push_back(request);
-    }
-    TargetLine line(socket, closing);
-    script_(request, line);
-    if (!socket.is_open()) {
-      return;
-    }
+bool ScriptedTarget::ServeRequest(Connection& connection) {
+  tcp::socket& socket = connection.socket_;
+  std::string& input = connection.input_;
+  error_code error;
+  const size_t head =
+      asio::read_until(socket, asio::dynamic_buffer(input), "\r\n\r\n", error);
+  if (error) {
+    return false;
+  }
+  TargetRequest request;
+  request.connection_ = connection.number_;
+  request.line_ = input.substr(0, input.find("\r\n"));
+  request.head_ =
+      input.substr(request.line_.size(), head - request.line_.size());
+  input.erase(0, head);
+  const std::string length = request.Header("Content-Length");
+  const size_t size = length.empty() ? 0 : std::stoul(length);
+  while (input.size() < size && !error) {
+    std::string more(size - input.size(), '\0');
+    more.resize(socket.read_some(asio::buffer(more), error));
+    input += more;
+  }
+  request.body_ = input.substr(0, size);
+  input.erase(0, size);
+  {
+    const std::scoped_lock lock(mutex_);
+    requests_.push_back(request);
   }
+  TargetLine line(socket,
+                  [this, &connection]() { Forget(connection.number_); });
+  script_(request, line);
+  return socket.is_open() && !stopping_ && !crashed_;
 }
 
 }  // namespace gv
--- a/tests/platform/scripted_target.h
+++ b/tests/platform/scripted_target.h
@@ -6,9 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
-#include <condition_variable>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -56,8 +54,8 @@
 };
 
 /** A target whose answers a test writes. Thread safety: the script runs on one
- * thread for each open connection; threads are used again, as a sanitizer's
- * runtime has room for few. */
+ * thread for each request in progress, which ends with it, as a sanitizer's
+ * runtime has room for few threads. */
 class ScriptedTarget {
  public:
   using Script = std::function<void(const TargetRequest&, TargetLine&)>;
@@ -77,36 +75,44 @@
   std::vector<TargetRequest> Requests();
 
  private:
-  /** A connection that waits for a thread. */
-  struct Accepted {
+  /** An open connection. */
+  struct Connection {
     uint64_t number_;
     boost::asio::ip::tcp::socket socket_;
+    std::string input_ = {};  ///< Read, not yet taken.
   };
 
+  /** Accepts connections, and starts a thread for each one with input. */
+  void Watch();
   void Accept();
-  /** Serves one connection after the other until the test is over. */
-  void RunThread();
-  void Serve(Accepted accepted);
-  void ServeRequests(Accepted& accepted, const std::function<void()>& closing);
+  /** Joins the threads that are done. */
+  void JoinFinished();
+  /** Takes connections with input out of idle_ and starts their threads.
+   * @param has_input For the first ones of idle_. */
+  void StartThreads(const std::vector<bool>& has_input);
+  /** Serves the requests that have come. */
+  void Serve(Connection connection);
+  /** @return True if the connection is kept. */
+  bool ServeRequest(Connection& connection);
+  void WakeWatcher() const;
   void Forget(uint64_t connection);
 
-  Script script_;                            ///< Answers.
-  boost::asio::io_context io_;               ///< For blocking calls.
-  boost::asio::ip::tcp::acceptor acceptor_;  ///< Listens.
-  std::mutex mutex_;                         ///< Guards the vectors.
-  std::vector<TargetRequest> requests_;      ///< Everything that came.
-  std::vector<std::thread> threads_;  ///< As many as were needed at once.
-  std::deque<Accepted> waiting_;      ///< Under mutex_; for a thread.
-  size_t idle_threads_ = 0;           ///< Under mutex_; wait on has_work_.
-  bool is_over_ = false;              ///< Under mutex_; threads end.
-  std::condition_variable has_work_;  ///< A connection waits, or it is over.
+  Script script_;                                   ///< Answers.
+  boost::asio::io_context io_;                      ///< For blocking calls.
+  boost::asio::ip::tcp::acceptor acceptor_;         ///< Listens.
+  std::mutex mutex_;                                ///< Guards the vectors.
+  std::vector<TargetRequest> requests_;             ///< Everything that came.
+  std::map<std::thread::id, std::thread> threads_;  ///< Under mutex_.
+  std::vector<std::thread::id> finished_;           ///< Under mutex_.
+  std::vector<Connection> idle_;  ///< Under mutex_; without input.
+  int wake_;                      ///< An eventfd for the watcher.
   /** Descriptors by connection; under mutex_. An entry goes before its
    * descriptor is closed, as another socket may get the same number then. */
   std::map<uint64_t, int> open_;
   std::string address_;                 ///< "127.0.0.1:PORT".
   std::atomic<bool> stopping_ = false;  ///< The test is over.
   std::atomic<bool> crashed_ = false;   ///< By Crash().
-  std::thread accepting_;               ///< Runs the acceptor.
+  std::thread watcher_;                 ///< Runs Watch().
 };
 
 }  // namespace gv
