Send changes to a gateway from its first poll on

Cause: members made the list of receivers of changes with their own polls only, every 400 ms, while a new gateway has its lease 100 ms after its start. Changes between were sent to a list without it, and found by digests later. Ruled out by the logs: a lost lease, a refused permit, the transport.

--- a/src/coordination/gateway/registry_members.cc
+++ b/src/coordination/gateway/registry_members.cc
@@ -138,10 +138,15 @@
   if (now - last_leader_grant_ > kPollTimeout) {
     nodes_.insert(from);
   }
+  const bool is_new = !pollers_.contains(from);
   Poller& poller = pollers_[from];
   const bool was_behind = poller.version_ < committed_.Version() &&
                           poller.version_ == poll.version_;
   poller.last_poll_ = now;
+  if (is_new) {
+    // Its lease may come with the answer; changes from now on are for it too.
+    RefreshNodes(now);
+  }
   poller.has_disk_ = poll.has_disk_;
   poller.version_ = poll.version_;
   RegistryStatus status;
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -213,6 +213,24 @@
         RegistrationState::kReady);
 }
 
+TEST_CASE("registry: a gateway that has just got its lease gets each change") {
+  // A member polls every 400 ms; the gateway starts at any time between two.
+  for (Duration phase; phase < 400_ms; phase = phase + 25_ms) {
+    RegistryGroup group(1, 0, 12);
+    group.Run(3_s + phase);
+    group.Add("e1", false);
+    while (!group.Core("e1").HasLease(group.now_)) {
+      group.Run(1_ms);
+    }
+    group.Register("d1", MakeTarget("t1", 1000, 1));
+    // A change leaves with the next tick, after 50 ms.
+    group.Run(100_ms);
+    CHECK_MESSAGE(
+        group.Core("e1").Targets().Find(TargetId("t1")) != nullptr,
+        "started " << phase.Ms() << " ms after " << Duration(3_s).Ms());
+  }
+}
+
 TEST_CASE("registry: all gateways drop a target without heartbeats") {
   RegistryGroup group(3, 2, 9);
   group.Run(5_s);
