Report the end of a connection to a peer from a handler of its own

A send from inside the handling of a message of that peer runs at once, on the strand; if it overflows the queue, the session is closed within the call, and the network's OnClosed takes the lock that its Send holds.

The session now reports its end from a handler of its own, so no call of the network into a session comes back into the network.

--- a/src/transport/peer_session.cc
+++ b/src/transport/peer_session.cc
@@ -315,7 +315,10 @@
   socket_.close(ignored);
   handshake_.cancel();
   queue_.clear();
-  callbacks_.closed_(shared_from_this());
+  // Send() may run here on the strand while the network that called it holds
+  // its lock, which closed_ takes as well.
+  asio::post(socket_.get_executor(),
+             [self = shared_from_this()]() { self->callbacks_.closed_(self); });
 }
 
 }  // namespace gv
--- a/src/transport/peer_session.h
+++ b/src/transport/peer_session.h
@@ -40,7 +40,8 @@
  */
 class PeerSession : public std::enable_shared_from_this<PeerSession> {
  public:
-  /** Called by the session; all run on its strand. */
+  /** Called by the session; all run on its strand, from handlers of their own,
+   * never inside a call of Start, Send or Close. */
   struct Callbacks {
     std::function<void(std::shared_ptr<PeerSession>)>
         ready_;                              ///< The peer is known and trusted.
--- a/tests/peer_network_test.cc
+++ b/tests/peer_network_test.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <future>
+#include <memory>
 #include <thread>
 
 namespace gv {
@@ -178,6 +179,62 @@
 // A process that was frozen during a handshake found its time limit over and
 // the rest of the handshake in its buffers: it kept a closed session as the one
 // to use, and never reached that peer again.
+/** A network whose node answers each message with many, more than its queue
+ * takes. */
+struct Answerer {
+  explicit Answerer(boost::asio::io_context& io)
+      : network_(
+            io, PeerIdentity{NodeId("b"), "cluster", kKey},
+            [this](const Envelope& envelope) { Answer(envelope); },
+            kQueueBytes) {}
+  void Answer(const Envelope& envelope) {
+    if (std::holds_alternative<PeerDown>(envelope.body_)) {
+      return;
+    }
+    for (uint64_t i = 0; i < 100; ++i) {
+      network_.Send(From("b", "a", i));
+    }
+    network_.SendToAll({NodeId("b"), Port::kControl},
+                       {{NodeId("a"), Port::kControl}}, AppendReply{});
+    answered_.set_value();
+  }
+  static constexpr size_t kQueueBytes = 1000;
+
+  std::promise<void> answered_;  ///< Set after an answer.
+  PeerNetwork network_;          ///< Node b.
+};
+
+TEST_CASE("peer network: a queue that overflows from inside an answer") {
+  // Kept for good if the answer hangs, with its thread.
+  auto io = std::make_unique<boost::asio::io_context>();
+  auto answerer = std::make_unique<Answerer>(*io);
+  boost::asio::io_context asker_io;
+  FirstMessage got;
+  PeerNetwork asker(asker_io, PeerIdentity{NodeId("a"), "cluster", kKey},
+                    [&got](const Envelope& envelope) { got.Put(envelope); });
+  REQUIRE(answerer->network_.Listen("127.0.0.1:27395").has_value());
+  std::thread thread([&io = *io]() { io.run(); });
+  std::thread asker_thread([&asker_io]() { asker_io.run(); });
+  auto answered = answerer->answered_.get_future();
+  auto asker_got = got.promise_.get_future();
+  asker.SetAddress(NodeId("b"), "127.0.0.1:27395");
+  asker.Send(From("a", "b", 1));
+  const bool ends = answered.wait_for(kPatience) == std::future_status::ready;
+  CHECK(ends);
+  // The connection whose queue is full is closed; the asker sees that.
+  CHECK(asker_got.wait_for(kPatience) == std::future_status::ready);
+  asker.Close();
+  asker_thread.join();
+  if (!ends) {
+    thread.detach();
+    static_cast<void>(answerer.release());
+    static_cast<void>(io.release());
+    return;
+  }
+  answerer->network_.Close();
+  thread.join();
+}
+
 TEST_CASE("peer network: a handshake that ends after its time limit") {
   constexpr std::chrono::milliseconds kFrozen{1800};
   constexpr std::chrono::milliseconds kBytesPass{300};
