Log each configuration that a gateway applies, and by what a request is admitted

A gateway logged the version of a configuration only where an operator was answered, and nothing told a key that was found from one that was not asked for.

Change: event configuration-applied with the version and what the table holds; access=open|anonymous|key|denied in forward-admitted. The decision moves from Forward into RoutingTable::AccessOf, a pure function; its result is the same.

--- a/src/coordination/gateway/routing_table.cc
+++ b/src/coordination/gateway/routing_table.cc
@@ -163,6 +163,25 @@
                                    : &configuration_.customers_[found->second];
 }
 
+AccessDecision RoutingTable::AccessOf(const Route& route,
+                                      const std::string& key) const {
+  if (!NeedsKeys()) {
+    return {Access::kOpen};
+  }
+  if (const Customer* customer = FindCustomer(key); customer != nullptr) {
+    return {Access::kKey, customer};
+  }
+  return {route.anonymous_ ? Access::kAnonymous : Access::kDenied};
+}
+
+std::string RoutingTable::Summary() const {
+  return "routes=" + std::to_string(configuration_.routes_.size()) +
+         " services=" + std::to_string(configuration_.services_.size()) +
+         " needs_keys=" + (NeedsKeys() ? "1" : "0") + " customers=" +
+         std::to_string(configuration_.customers_.size()) +
+         " keys=" + std::to_string(customers_.size());
+}
+
 const Service* RoutingTable::FindService(const std::string& name) const {
   const auto found = services_.find(name);
   return found == services_.end() ? nullptr
--- a/src/coordination/gateway/routing_table.h
+++ b/src/coordination/gateway/routing_table.h
@@ -2,17 +2,41 @@
  * a request in the current configuration. */
 #pragma once
 
+#include <array>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 
 #include "coordination/gateway/target_limits.h"
+#include "state/enum_names.h"
 #include "state/routing_type.h"
 #include "state/verdict_type.h"
 
 namespace gv {
 
+/** By what a request may use its route. */
+enum class Access : uint8_t {
+  kOpen,       ///< The configuration asks for no keys.
+  kAnonymous,  ///< The route needs no key, and the request has no valid one.
+  kKey,        ///< The key of a customer.
+  kDenied,     ///< A key is needed, and the request has no valid one.
+};
+
+inline constexpr std::array<EnumName<Access>, 4> kAccessNames{{
+    {Access::kOpen, "open"},
+    {Access::kAnonymous, "anonymous"},
+    {Access::kKey, "key"},
+    {Access::kDenied, "denied"},
+}};
+
+/** Whether a request may use its route, and as whom. */
+struct AccessDecision {
+  Access access_ = Access::kDenied;     ///< By what.
+  const Customer* customer_ = nullptr;  ///< Set for Access::kKey.
+};
+
 /**
  * Index of one configuration. Thread safety: immutable after Build.
  */
@@ -39,6 +63,9 @@
   const Route* FindRoute(std::string_view host, std::string_view path) const;
   /** @return The customer to whom @p key belongs, or nullptr. */
   const Customer* FindCustomer(const std::string& key) const;
+  /** @return Whether a request with @p key may use @p route. @param key Empty
+   * if the request has none. */
+  AccessDecision AccessOf(const Route& route, const std::string& key) const;
   /** @return The service with this name, or nullptr. */
   const Service* FindService(const std::string& name) const;
   /** @return The services whose targets can be cold, by name. */
@@ -46,6 +73,8 @@
   /** @return True if requests need the key of a customer, as customers are
    * configured. */
   bool NeedsKeys() const { return !configuration_.customers_.empty(); }
+  /** @return What the configuration holds, for log lines. */
+  std::string Summary() const;
   const RoutingConfiguration& Configuration() const { return configuration_; }
 
   /**
--- a/src/state/event_type.h
+++ b/src/state/event_type.h
@@ -65,6 +65,7 @@
   kEvacuationForwarded = 655,
   kEvacuationOutdated = 656,
   kDepartureOutdated = 657,
+  kConfigurationApplied = 658,
   kForwardAdmitted = 610,
   kForwardRefused = 611,
   kForwardSent = 612,
--- a/src/state/table/events.h
+++ b/src/state/table/events.h
@@ -19,7 +19,7 @@
   std::string_view meaning_;  ///< For people.
 };
 
-inline constexpr std::array<EventRow, 88> kEvents{{
+inline constexpr std::array<EventRow, 89> kEvents{{
     {EventId::kProcessStarted, "process-started", EventLevel::kInfo,
      "A process started with its roles."},
     {EventId::kProcessStopping, "process-stopping", EventLevel::kInfo,
@@ -108,6 +108,8 @@
      EventLevel::kWarning, "An operator sent an invalid configuration."},
     {EventId::kConfigurationAccepted, "configuration-accepted",
      EventLevel::kInfo, "A configuration was acknowledged to an operator."},
+    {EventId::kConfigurationApplied, "configuration-applied", EventLevel::kInfo,
+     "A gateway treats requests by this configuration from now on."},
     {EventId::kLeavingAcknowledged, "leaving-acknowledged", EventLevel::kInfo,
      "Enough members know that a target leaves; it is told so."},
     {EventId::kLeavingNotConfirmed, "leaving-not-confirmed",
--- a/src/transport/gateway/forward.cc
+++ b/src/transport/gateway/forward.cc
@@ -171,10 +171,15 @@
   }
   route_ = *route;
   priority_ = route_.priority_;
-  if (!Authenticate()) {
+  const AccessDecision caller = table->AccessOf(route_, facts_.key_);
+  if (caller.access_ == Access::kDenied) {
     Refuse(kUnauthorized, "unknown-key", Duration());
     return false;
   }
+  if (caller.customer_ != nullptr) {
+    customer_ = caller.customer_->name_;
+    priority_ = caller.customer_->priority_.value_or(priority_);
+  }
   service_ = *table->FindService(ChosenService(route_));
   const Duration deadline = facts_.deadline_.value_or(route_.timeout_);
   caller_deadline_ = arrived_ + std::min(deadline, route_.timeout_);
@@ -190,25 +195,12 @@
   Log(EventId::kForwardAdmitted,
       "prompt=" + std::to_string(facts_.prompt_tokens_) + " deadline_ms=" +
           std::to_string(deadline.Ms()) + " rank=" + std::to_string(priority_) +
-          " config=" + std::to_string(config_version_) + " " +
+          " config=" + std::to_string(config_version_) + " access=" +
+          std::string(NameOf(kAccessNames, caller.access_)) + " " +
           parts_.back().Value());
   return true;
 }
 
-bool Forward::Authenticate() {
-  const RoutingTable& table = *gateway_.Table();
-  if (!table.NeedsKeys()) {
-    return true;
-  }
-  const Customer* customer = table.FindCustomer(facts_.key_);
-  if (customer == nullptr) {
-    return route_.anonymous_;
-  }
-  customer_ = customer->name_;
-  priority_ = customer->priority_.value_or(priority_);
-  return true;
-}
-
 Duration Forward::PredictedWork() const {
   return IsPrompt() ? Placer::ShortestWork(ToPlace())
                     : gateway_.TimesOf(service_.name_).Usual();
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -114,7 +114,6 @@
   void NoteMemory();
   void EndForMemory();
   bool Admit();
-  bool Authenticate();
   /** @param retry_after Zero if the caller is told no time to return. */
   void Refuse(unsigned status, const std::string& reason, Duration retry_after);
   /** @return When the caller should return. @param room_in Until there is room
--- a/src/transport/gateway/gateway_registry.cc
+++ b/src/transport/gateway/gateway_registry.cc
@@ -156,6 +156,11 @@
     return;
   }
   table_ = std::move(table.value());
+  Event applied;
+  applied.id_ = EventId::kConfigurationApplied;
+  applied.revision_ = Revision(table_version_);
+  applied.detail_ = table_->Summary();
+  Record(applied);
   registry_.SetColdServices(Now(), table_->ColdServices());
 }
 
