Take an empty list of customers for one that leaves no valid key

Cause: the decoded configuration kept the customers in a vector, in which a list without an entry and no list are the same; RoutingTable::NeedsKeys() read both as "no key is needed".

Change: the customers are an optional list, and only a configuration without one needs no keys.

Why it works: each gateway decodes the operator's text by one function, on arrival, when it applies a version and after a restart, and one function decides on a request; neither can mix the two up any more.

--- a/src/coordination/gateway/routing_table.cc
+++ b/src/coordination/gateway/routing_table.cc
@@ -100,8 +100,11 @@
 }
 
 Result<void> RoutingTable::IndexCustomers() {
-  for (size_t i = 0; i < configuration_.customers_.size(); ++i) {
-    const Customer& customer = configuration_.customers_[i];
+  if (!configuration_.customers_) {
+    return boost::outcome_v2::success();
+  }
+  for (size_t i = 0; i < configuration_.customers_->size(); ++i) {
+    const Customer& customer = (*configuration_.customers_)[i];
     for (const std::string& key : customer.keys_) {
       const auto [found, inserted] = customers_.emplace(key, i);
       if (!inserted && found->second != i) {
@@ -159,8 +162,9 @@
 
 const Customer* RoutingTable::FindCustomer(const std::string& key) const {
   const auto found = customers_.find(key);
-  return found == customers_.end() ? nullptr
-                                   : &configuration_.customers_[found->second];
+  return found == customers_.end()
+             ? nullptr
+             : &(*configuration_.customers_)[found->second];
 }
 
 AccessDecision RoutingTable::AccessOf(const Route& route,
@@ -177,8 +181,9 @@
 std::string RoutingTable::Summary() const {
   return "routes=" + std::to_string(configuration_.routes_.size()) +
          " services=" + std::to_string(configuration_.services_.size()) +
-         " needs_keys=" + (NeedsKeys() ? "1" : "0") + " customers=" +
-         std::to_string(configuration_.customers_.size()) +
+         " customers=" +
+         (NeedsKeys() ? std::to_string(configuration_.customers_->size())
+                      : "no-list") +
          " keys=" + std::to_string(customers_.size());
 }
 
--- a/src/coordination/gateway/routing_table.h
+++ b/src/coordination/gateway/routing_table.h
@@ -70,9 +70,9 @@
   const Service* FindService(const std::string& name) const;
   /** @return The services whose targets can be cold, by name. */
   std::map<std::string, ColdBounds> ColdServices() const;
-  /** @return True if requests need the key of a customer, as customers are
-   * configured. */
-  bool NeedsKeys() const { return !configuration_.customers_.empty(); }
+  /** @return True if the configuration has a list of customers, even an empty
+   * one: requests then need a key, but for those of anonymous routes. */
+  bool NeedsKeys() const { return configuration_.customers_.has_value(); }
   /** @return What the configuration holds, for log lines. */
   std::string Summary() const;
   const RoutingConfiguration& Configuration() const { return configuration_; }
--- a/src/state/routing_type.h
+++ b/src/state/routing_type.h
@@ -117,11 +117,13 @@
 
 /** A whole configuration. */
 struct RoutingConfiguration {
-  uint64_t version_ = 0;             ///< The highest version is in force.
-  std::vector<Route> routes_;        ///< In the order of the text.
-  std::vector<Service> services_;    ///< In the order of the text.
-  std::vector<Customer> customers_;  ///< Without customers no key is needed.
-  GatewayBounds bounds_;             ///< For all callers.
+  uint64_t version_ = 0;           ///< The highest version is in force.
+  std::vector<Route> routes_;      ///< In the order of the text.
+  std::vector<Service> services_;  ///< In the order of the text.
+  /** Without a value the configuration has no list of customers, and no
+   * request needs a key. An empty list leaves no valid key. */
+  std::optional<std::vector<Customer>> customers_;
+  GatewayBounds bounds_;  ///< For all callers.
 };
 
 }  // namespace gv
--- a/src/transport/gateway/forward.cc
+++ b/src/transport/gateway/forward.cc
@@ -195,8 +195,8 @@
   Log(EventId::kForwardAdmitted,
       "prompt=" + std::to_string(facts_.prompt_tokens_) + " deadline_ms=" +
           std::to_string(deadline.Ms()) + " rank=" + std::to_string(priority_) +
-          " config=" + std::to_string(config_version_) + " access=" +
-          std::string(NameOf(kAccessNames, caller.access_)) + " " +
+          " config=" + std::to_string(config_version_) +
+          " access=" + std::string(NameOf(kAccessNames, caller.access_)) + " " +
           parts_.back().Value());
   return true;
 }
--- a/tests/gateway_routing_test.cc
+++ b/tests/gateway_routing_test.cc
@@ -22,7 +22,7 @@
   configuration.version_ = 3;
   configuration.services_ = {Service{"s1", 0, {}}, Service{"s2", 0, {}}};
   configuration.routes_ = {MakeRoute("r1", "/a/"), MakeRoute("r2", "/a/b/")};
-  configuration.customers_ = {Customer{"c1", {"k1", "k2"}, {}}};
+  configuration.customers_.emplace({Customer{"c1", {"k1", "k2"}, {}}});
   return configuration;
 }
 
@@ -39,6 +39,34 @@
   CHECK(table.FindCustomer("k3") == nullptr);
 }
 
+TEST_CASE(
+    "routing table: a list without customers leaves no valid key, and no list "
+    "needs none") {
+  const auto access = [](std::optional<std::vector<Customer>> customers,
+                         bool anonymous, const std::string& key) {
+    RoutingConfiguration configuration = SampleConfiguration();
+    configuration.customers_ = std::move(customers);
+    configuration.routes_[0].anonymous_ = anonymous;
+    const RoutingTable table =
+        RoutingTable::Build(std::move(configuration)).value();
+    return table.AccessOf(*table.FindRoute("a.example", "/a/x"), key).access_;
+  };
+  const std::vector<Customer> none;
+  const std::vector<Customer> without_keys{Customer{"c1", {}, {}}};
+  const std::vector<Customer> one{Customer{"c1", {"k1"}, {}}};
+  for (const std::string key : {"", "k1", "k2"}) {
+    CAPTURE(key);
+    const bool held = key == "k1";
+    for (const auto& customers : {none, without_keys}) {
+      CHECK(access(customers, false, key) == Access::kDenied);
+      CHECK(access(customers, true, key) == Access::kAnonymous);
+    }
+    CHECK(access(one, false, key) == (held ? Access::kKey : Access::kDenied));
+    CHECK(access(one, true, key) == (held ? Access::kKey : Access::kAnonymous));
+    CHECK(access(std::nullopt, false, key) == Access::kOpen);
+  }
+}
+
 /** @return A stream route of "s1". */
 Route MakeStream(const std::string& prefix, int64_t rank, Duration pause) {
   Route route = MakeRoute(prefix, prefix);
@@ -91,7 +119,7 @@
   CHECK(refuses([](auto& c) { c.routes_[0].timeout_ = Duration(); }));
   CHECK(refuses([](auto& c) { c.routes_[0].prefix_ = "/a"; }));
   CHECK(refuses([](auto& c) {
-    c.customers_.push_back(Customer{"c2", {"k1"}, {}});
+    c.customers_->push_back(Customer{"c2", {"k1"}, {}});
   }));
 }
 
--- a/tests/platform/gateway_rig.cc
+++ b/tests/platform/gateway_rig.cc
@@ -80,9 +80,15 @@
                           ", control: " + At(3) + "}\n" + more);
   REQUIRE_MESSAGE(settings.has_value(),
                   (settings ? "" : settings.error().detail_));
-  const int log = open((folder + "/log").c_str(), O_CREAT | O_WRONLY, 0600);
-  gateway_ =
-      std::make_unique<Gateway>(settings.value(), "gateway.yaml", codec, log);
+  settings_ = settings.value();
+  codec_ = &codec;
+  Run();
+}
+
+void GatewayRig::Run() {
+  const int log =
+      open((folder_ / "log").c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
+  gateway_ = std::make_unique<Gateway>(settings_, "gateway.yaml", *codec_, log);
   const auto opened = gateway_->Open();
   REQUIRE_MESSAGE(opened.has_value(), (opened ? "" : opened.error().detail_));
   runner_ = std::thread([this]() { gateway_->Run(); });
@@ -128,12 +134,22 @@
   AwaitReady();
 }
 
-GatewayRig::~GatewayRig() {
+void GatewayRig::Halt() {
   if (gateway_) {
     gateway_->Halt();
     runner_.join();
     gateway_.reset();
   }
+}
+
+void GatewayRig::Restart() {
+  Halt();
+  Run();
+  AwaitReady();
+}
+
+GatewayRig::~GatewayRig() {
+  Halt();
   std::error_code ignored;
   std::filesystem::remove_all(folder_, ignored);
 }
--- a/tests/platform/gateway_rig.h
+++ b/tests/platform/gateway_rig.h
@@ -30,6 +30,8 @@
   GatewayRig(const GatewayRig&) = delete;
   GatewayRig& operator=(const GatewayRig&) = delete;
 
+  /** Stops the gateway at once and starts it on what its disk holds. */
+  void Restart();
   /** Registers a target. @param state "ready" or "draining". */
   void Register(const std::string& id, const std::string& service,
                 const std::string& address, const std::string& state = "ready");
@@ -61,8 +63,13 @@
   void AwaitStop();
 
  private:
-  /** Starts the gateway. @param more Its control and gateway settings. */
+  /** Creates the folder and starts the gateway. @param more Its control and
+   * gateway settings. */
   void Start(const std::string& more, const WireCodec& codec);
+  /** Starts the gateway in its folder. */
+  void Run();
+  /** Stops the gateway at once. */
+  void Halt();
   /** Waits until the gateway has a configuration and a lease. */
   void AwaitReady() const;
   /** @return An open connection to one of the four ports. */
@@ -74,6 +81,8 @@
   std::string ip_;                    ///< On loopback.
   uint16_t first_port_;               ///< Of four, the same in a cluster.
   std::filesystem::path folder_;      ///< Key, data and log.
+  ProcessSettings settings_;          ///< Of the gateway.
+  const WireCodec* codec_ = nullptr;  ///< Of the gateway.
   std::unique_ptr<Gateway> gateway_;  ///< Under test.
   std::thread runner_;                ///< Runs it.
   uint64_t sequence_ = 0;             ///< Of registrations.
--- a/tests/platform/platform_codec_test.cc
+++ b/tests/platform/platform_codec_test.cc
@@ -46,7 +46,7 @@
   CHECK(configuration.routes_[1].max_targets_ == 1);
   REQUIRE(configuration.services_[0].engine_.has_value());
   CHECK(configuration.services_[0].engine_->prefill_tokens_per_ms_ == 177);
-  CHECK(configuration.customers_[0].priority_ == 2);
+  CHECK(configuration.customers_.value()[0].priority_ == 2);
   CHECK(configuration.bounds_.header_bytes_ == 8192);
 }
 
@@ -76,6 +76,24 @@
   CHECK_FALSE(Decode("{\"a\":" + deep).has_value());
 }
 
+TEST_CASE(
+    "platform: a configuration with an empty list of customers isn't taken for "
+    "one without a list") {
+  const std::string begin = R"({"version":7,"routes":[],"services":[])";
+  const auto empty = Decode(begin + R"(,"tenants":[]})");
+  REQUIRE(empty.has_value());
+  REQUIRE(empty.value().customers_.has_value());
+  CHECK(empty.value().customers_->empty());
+  const auto absent = Decode(begin + "}");
+  REQUIRE(absent.has_value());
+  CHECK_FALSE(absent.value().customers_.has_value());
+  for (const char* const no_list : {"null", "{}", "\"\"", "0", "false"}) {
+    CAPTURE(no_list);
+    const std::string member = std::string(",\"tenants\":") + no_list;
+    CHECK_FALSE(Decode(begin + member + "}").has_value());
+  }
+}
+
 std::string ManyRoutes(int count, int changed) {
   std::string text = R"({"version":8,"services":[{"name":"s2"}],"routes":[)";
   for (int i = 0; i < count; ++i) {
