Let an empty text in a list of keys be nobody's key

What callers would see: with apiKeys [""] each request without a key runs as one of that customer.

A request without a key carries an empty one to the look-up, and the look-up found the empty text.

Change: FindCustomer() finds nobody for an empty key.

Evidence: gateway_routing_test, "an empty text in a list of keys is nobody's key": failed before (the empty key was accepted), passes after.

--- a/src/coordination/gateway/routing_table.cc
+++ b/src/coordination/gateway/routing_table.cc
@@ -161,7 +161,8 @@
 }
 
 const Customer* RoutingTable::FindCustomer(const std::string& key) const {
-  const auto found = customers_.find(key);
+  // A request without a key has an empty one.
+  const auto found = key.empty() ? customers_.end() : customers_.find(key);
   return found == customers_.end()
              ? nullptr
              : &(*configuration_.customers_)[found->second];
--- a/src/coordination/gateway/routing_table.h
+++ b/src/coordination/gateway/routing_table.h
@@ -61,7 +61,8 @@
    * or nullptr. @param host Value of the Host header, with or without a port,
    * in upper or lower case. @param path Path with or without a query. */
   const Route* FindRoute(std::string_view host, std::string_view path) const;
-  /** @return The customer to whom @p key belongs, or nullptr. */
+  /** @return The customer to whom @p key belongs, or nullptr; an empty key
+   * belongs to nobody. */
   const Customer* FindCustomer(const std::string& key) const;
   /** @return Whether a request with @p key may use @p route. @param key Empty
    * if the request has none. */
--- a/tests/gateway_routing_test.cc
+++ b/tests/gateway_routing_test.cc
@@ -67,6 +67,17 @@
   }
 }
 
+// Guards against requests without a key that count as a customer's.
+TEST_CASE("routing table: an empty text in a list of keys is nobody's key") {
+  RoutingConfiguration configuration = SampleConfiguration();
+  configuration.customers_ = {{Customer{"c1", {"", "k1"}, {}}}};
+  const RoutingTable table =
+      RoutingTable::Build(std::move(configuration)).value();
+  const Route& route = *table.FindRoute("a.example", "/a/x");
+  CHECK(table.AccessOf(route, "").access_ == Access::kDenied);
+  CHECK(table.AccessOf(route, "k1").access_ == Access::kKey);
+}
+
 /** @return A stream route of "s1". */
 Route MakeStream(const std::string& prefix, int64_t rank, Duration pause) {
   Route route = MakeRoute(prefix, prefix);
