Refuse a configuration with version 0

What operators would see: a configuration with version 0 is acknowledged, as it isn't higher than what a gateway begins with, and is never in force; a read gets 503.

Cause: the same as there, nothing taken for a value. ConfigurationStore keeps 0 for "no configuration yet".

Change: RoutingTable::Build() refuses it, so that the operator gets 400 at once. Weighed: an optional version in the store, in polls and in log entries; that changes messages between neighbouring versions for a number that nobody needs.

Evidence: gateway_routing_test, "invalid configurations are refused": the new check failed before and passes after.

--- a/src/coordination/gateway/routing_table.cc
+++ b/src/coordination/gateway/routing_table.cc
@@ -48,6 +48,10 @@
 }  // namespace
 
 Result<RoutingTable> RoutingTable::Build(RoutingConfiguration configuration) {
+  // Gateways begin with version 0, which is never replaced by itself.
+  if (configuration.version_ == 0) {
+    return InvalidConfiguration("the version must be above 0");
+  }
   RoutingTable table;
   table.configuration_ = std::move(configuration);
   BOOST_OUTCOME_TRY(table.IndexServices());
--- a/src/coordination/gateway/routing_table.h
+++ b/src/coordination/gateway/routing_table.h
@@ -50,10 +50,11 @@
 
   /**
    * Validates a configuration and indexes it.
-   * @return The table, or Reason::kBadRequest with the first error: a service
-   * that is unknown or given twice, two routes with the same host and prefix, a
-   * prefix without a slash at either end, a negative weight, weights that add
-   * up to 0, a timeout that is not above 0, or a key that two customers share.
+   * @return The table, or Reason::kBadRequest with the first error: a version
+   * that is not above 0, a service that is unknown or given twice, two routes
+   * with the same host and prefix, a prefix without a slash at either end, a
+   * negative weight, weights that add up to 0, a timeout that is not above 0,
+   * or a key that two customers share.
    */
   static Result<RoutingTable> Build(RoutingConfiguration configuration);
 
--- a/tests/gateway_routing_test.cc
+++ b/tests/gateway_routing_test.cc
@@ -123,6 +123,9 @@
     return !RoutingTable::Build(std::move(configuration)).has_value();
   };
   CHECK_FALSE(refuses([](RoutingConfiguration&) {}));
+  // Version 0 would be acknowledged as not above the one that gateways begin
+  // with, and never be in force.
+  CHECK(refuses([](auto& c) { c.version_ = 0; }));
   CHECK(refuses([](auto& c) { c.routes_[0].services_ = {{"none", 1}}; }));
   CHECK(refuses([](auto& c) { c.routes_[1].prefix_ = "/a/"; }));
   CHECK(refuses([](auto& c) { c.routes_[0].services_ = {{"s1", 0}}; }));
