Count header fields by what is allocated for them

Cause: each holder computed what it holds from lengths on the wire. A field takes some 75 bytes besides its text, and an empty input buffer of a connection to a target counted as nothing with up to 64 KiB, so the sum stayed at a tenth of what was held and nobody was ended.

Change: the fields of all messages at a gateway come from an allocator that counts; callers, requests, answers, kept failures and the readiness, control and metrics addresses report it. Room is asked for before a head is parsed, so that a crowd that comes at once stays within the limit and one head.

Ruled out: memory that the heap doesn't return (800 heads of one field grow the process by no more than is counted).

--- a/src/state/table/events.h
+++ b/src/state/table/events.h
@@ -138,8 +138,8 @@
      "A departure is not carried out, as the target may have given it up and "
      "started again."},
     {EventId::kConnectionsClosed, "connections-closed", EventLevel::kWarning,
-     "Connections were closed or not accepted, as too few descriptors are "
-     "left; with their numbers since the last line."},
+     "Connections were closed or not accepted, as too few descriptors or too "
+     "little memory is left; with their numbers since the last line."},
     {EventId::kForwardAdmitted, "forward-admitted", EventLevel::kDebug,
      "A gateway took a request in."},
     {EventId::kForwardRefused, "forward-refused", EventLevel::kInfo,
--- a/src/transport/gateway/caller_connection.cc
+++ b/src/transport/gateway/caller_connection.cc
@@ -67,7 +67,7 @@
          !(parser_ && parser_->is_header_done());
 }
 
-void GatewayCaller::ResumeReading() { Read(); }
+void GatewayCaller::ResumeReading() { PostContinue(); }
 
 void GatewayCaller::PostContinue() {
   if (closed_ || continuing_) {
@@ -113,6 +113,10 @@
 }
 
 void GatewayCaller::OnReadable() {
+  // Others may have taken the room since the wait began.
+  if (!hooks_.may_read_()) {
+    return;
+  }
   static thread_local std::array<char, kReadBytes> chunk;
   boost::system::error_code error;
   const size_t bytes = socket_.read_some(asio::buffer(chunk), error);
@@ -146,9 +150,8 @@
   ShrinkIfEmpty(input_);
   ShrinkIfEmpty(output_);
   ShrinkIfEmpty(sending_);
-  hooks_.held_(kConnectionBytes + head_bytes_ + input_.capacity() +
-               output_.capacity() + sending_.capacity() +
-               (parser_ ? parser_->get().body().capacity() : 0));
+  hooks_.held_(kConnectionBytes + input_.capacity() + output_.capacity() +
+               sending_.capacity() + (parser_ ? HeldBytes(parser_->get()) : 0));
 }
 
 void GatewayCaller::EndForMemory() {
@@ -164,7 +167,6 @@
     return;
   }
   parser_.reset();
-  head_bytes_ = 0;
   input_.clear();
   HttpFields fields;
   SetRetryAfter(kRetryAfterMemory, fields);
@@ -191,6 +193,12 @@
 
 void GatewayCaller::Parse() {
   while (!input_.empty() && !busy_ && !closed_) {
+    // A head takes more memory than its text, so the room for one is looked for
+    // before each.
+    NoteHeld();
+    if (!hooks_.may_read_()) {
+      return;
+    }
     if (!parser_) {
       parser_.emplace();
       parser_->header_limit(static_cast<uint32_t>(bounds_.header_bytes_));
@@ -203,12 +211,8 @@
       return;
     }
     boost::system::error_code error;
-    const bool is_head = !parser_->is_header_done();
     const size_t used = parser_->put(asio::buffer(input_), error);
     input_.erase(0, used);
-    if (is_head) {
-      head_bytes_ += std::min(used, static_cast<size_t>(bounds_.header_bytes_));
-    }
     if (error && error != http::error::need_more) {
       Refuse(error == http::error::header_limit ? kHeaderTooLarge
              : error == http::error::body_limit ? kTooLarge
@@ -219,9 +223,8 @@
       busy_ = true;
       head_only_ = parser_->get().method() == http::verb::head;
       close_after_ = close_after_ || !parser_->get().keep_alive();
-      CallerRequestMessage request = parser_->release();
+      CountedRequest request = parser_->release();
       parser_.reset();
-      head_bytes_ = 0;
       hooks_.request_(std::move(request));
       return;
     }
--- a/src/transport/gateway/caller_connection.h
+++ b/src/transport/gateway/caller_connection.h
@@ -3,8 +3,6 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -16,9 +14,6 @@
 
 namespace gv {
 
-using CallerRequestMessage =
-    boost::beast::http::request<boost::beast::http::string_body>;
-
 /** A whole answer. */
 struct WholeAnswer {
   unsigned status_ = 0;  ///< Status code.
@@ -32,7 +27,7 @@
 /** What a connection needs from its owner. */
 struct GatewayCallerHooks {
   /** A whole request came; exactly one answer follows. */
-  std::function<void(CallerRequestMessage)> request_;
+  std::function<void(CountedRequest)> request_;
   /** The caller went away while its request is in progress. */
   std::function<void()> gone_;
   /** The connection is closed; called once. */
@@ -77,7 +72,7 @@
   /** Closes a connection that is idle, slow with a header, or takes nothing of
    * its answer, for too long. */
   void OnTick(TimePoint now);
-  /** Reads on if reading was put off for lack of memory. */
+  /** Parses and reads on if that was put off for lack of memory. */
   void ResumeReading();
   /** Sets the time of what happens next. */
   void SetNow(TimePoint now) { now_ = now; }
@@ -93,9 +88,6 @@
   TimePoint HeardAt() const { return heard_at_; }
 
  private:
-  using Parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
-
   void Read();
   void OnReadable();
   void OnRead(std::string_view bytes);
@@ -116,27 +108,26 @@
   void Close();
   std::string Head(unsigned status, const HttpFields& fields) const;
 
-  boost::asio::ip::tcp::socket socket_;  ///< The connection.
-  GatewayBounds bounds_;                 ///< What the caller may send.
-  GatewayCallerHooks hooks_;             ///< To the owner.
-  std::optional<Parser> parser_;         ///< Of the request.
-  std::string input_;                    ///< Read, not yet parsed.
-  std::string output_;                   ///< To be written next.
-  std::string sending_;                  ///< Being written.
-  size_t sent_ = 0;                      ///< Bytes of sending_ so far.
-  TimePoint now_;                        ///< Set by the owner.
-  TimePoint idle_since_;                 ///< Begin of waiting for a request.
-  TimePoint heard_at_;                   ///< Last bytes of the caller.
-  TimePoint taken_at_;                   ///< The caller took bytes last.
-  size_t head_bytes_ = 0;                ///< Read into parser_ as a head.
-  bool reading_ = false;                 ///< A read is in progress.
-  bool continuing_ = false;              ///< Continue() is about to run.
-  bool busy_ = false;                    ///< A request is in progress.
-  bool head_only_ = false;               ///< The request wants no body.
-  bool close_after_ = false;             ///< Close once all is written.
-  bool closed_ = false;                  ///< At the end.
-  bool continued_ = false;               ///< "100 Continue" was sent.
-  bool head_sound_ = false;              ///< The request's end is certain.
+  boost::asio::ip::tcp::socket socket_;         ///< The connection.
+  GatewayBounds bounds_;                        ///< What the caller may send.
+  GatewayCallerHooks hooks_;                    ///< To the owner.
+  std::optional<CountedRequestParser> parser_;  ///< Of the request.
+  std::string input_;                           ///< Read, not yet parsed.
+  std::string output_;                          ///< To be written next.
+  std::string sending_;                         ///< Being written.
+  size_t sent_ = 0;                             ///< Bytes of sending_ so far.
+  TimePoint now_;                               ///< Set by the owner.
+  TimePoint idle_since_;      ///< Begin of waiting for a request.
+  TimePoint heard_at_;        ///< Last bytes of the caller.
+  TimePoint taken_at_;        ///< The caller took bytes last.
+  bool reading_ = false;      ///< A read is in progress.
+  bool continuing_ = false;   ///< Continue() is about to run.
+  bool busy_ = false;         ///< A request is in progress.
+  bool head_only_ = false;    ///< The request wants no body.
+  bool close_after_ = false;  ///< Close once all is written.
+  bool closed_ = false;       ///< At the end.
+  bool continued_ = false;    ///< "100 Continue" was sent.
+  bool head_sound_ = false;   ///< The request's end is certain.
 };
 
 }  // namespace gv
--- a/src/transport/gateway/forward.cc
+++ b/src/transport/gateway/forward.cc
@@ -23,17 +23,15 @@
 /** Retry-After of a gateway that is stopping; other gateways can accept the
  * request immediately. */
 constexpr Duration kOtherGatewayRetry = 20_ms;
-/** Memory of one header field besides its text. */
-constexpr size_t kFieldOverheadBytes = 64;
 /** Deadline of a caller that names none, while no route is known. */
 constexpr Duration kUnknownDeadline = 5_s;
-/** Memory of a waiting request and its connection besides the body. */
+/** Memory of a request in progress besides its message. */
 constexpr size_t kRequestOverheadBytes = 4096;
 
 }  // namespace
 
 Forward::Forward(Gateway& gateway, std::shared_ptr<GatewayCaller> caller,
-                 CallerRequestMessage request)
+                 CountedRequest request)
     : gateway_(gateway),
       caller_(std::move(caller)),
       request_(std::move(request)),
@@ -45,10 +43,6 @@
       events_(facts_.last_event_) {}
 
 void Forward::Start() {
-  for (const auto& field : request_) {
-    head_bytes_ +=
-        field.name_string().size() + field.value().size() + kFieldOverheadBytes;
-  }
   NoteMemory();
   if (gateway_.AcceptsRequests() && !CanAdmit()) {
     HoldOrRefuse();
@@ -82,20 +76,19 @@
                                      std::hash<std::string>()(facts_.attempt_));
 }
 
-size_t Forward::HeldBytes() const {
-  return request_.body().size() + kRequestOverheadBytes;
+size_t Forward::WaitingBytes() const {
+  return HeldBytes(request_) + kRequestOverheadBytes;
 }
 
 void Forward::NoteMemory() {
-  size_t bytes = kRequestOverheadBytes + head_bytes_ +
-                 request_.body().capacity() + events_.PartialEventBytes();
+  size_t bytes = WaitingBytes() + events_.PartialEventBytes();
   if (attempt_) {
-    // The connection holds the request as it is sent.
-    bytes += head_bytes_ + request_.body().size() + attempt_->body_.capacity() +
-             attempt_->unparsed_bytes_;
+    bytes += attempt_->request_bytes_ + HeldBytes(attempt_->fields_) +
+             attempt_->body_.capacity() + attempt_->unparsed_bytes_;
   }
   if (target_failure_) {
-    bytes += target_failure_->body_.capacity();
+    bytes +=
+        HeldBytes(target_failure_->fields_) + target_failure_->body_.capacity();
   }
   memory_.Set(bytes);
 }
@@ -124,7 +117,7 @@
   }
   const TimePoint now = gateway_.Now();
   unleased.time_left_ = deadline - kAnswerMargin - (now - arrived_);
-  unleased.bytes_ = HeldBytes();
+  unleased.bytes_ = WaitingBytes();
   const bool waited = waiting_for_lease_;
   StopWaitingForLease();
   const LeaseOutlook outlook = gateway_.Registry().OutlookOfLease(now);
@@ -152,7 +145,7 @@
 void Forward::StopWaitingForLease() {
   if (waiting_for_lease_) {
     waiting_for_lease_ = false;
-    gateway_.HeldRequests().Remove(HeldBytes());
+    gateway_.HeldRequests().Remove(WaitingBytes());
   }
 }
 
--- a/src/transport/gateway/forward.h
+++ b/src/transport/gateway/forward.h
@@ -43,7 +43,7 @@
  public:
   /** @param gateway Must outlive this object. */
   Forward(Gateway& gateway, std::shared_ptr<GatewayCaller> caller,
-          CallerRequestMessage request);
+          CountedRequest request);
 
   /** Admits the request and places it, or waits for the gateway's lease first.
    * @pre Called once. */
@@ -86,6 +86,7 @@
     bool is_streamed_ = false;
     bool has_event_ = false;  ///< An event of the answer has come.
     bool is_trial_ = false;  ///< Sent after the quarantine of one of its parts.
+    size_t request_bytes_ = 0;   ///< Of the request as it is sent.
     size_t unparsed_bytes_ = 0;  ///< Of the answer, at its connection.
     bool is_overdue_ = false;    ///< Reported as an answer that does not end.
   };
@@ -110,7 +111,8 @@
   std::string ChosenService(const Route& route) const;
   void HoldOrRefuse();
   void StopWaitingForLease();
-  size_t HeldBytes() const;
+  /** @return Bytes that the request holds while it waits for a lease. */
+  size_t WaitingBytes() const;
   void NoteMemory();
   void EndForMemory();
   bool Admit();
@@ -156,7 +158,7 @@
 
   // forward_outcome.cc: what comes back from an attempt, and what follows.
   void OnUnparsed(size_t bytes);
-  void OnHead(unsigned status, const HttpFields& fields);
+  void OnHead(unsigned status, HttpFields fields);
   void OnBody(const std::string& data);
   void OnWholeBody(const std::string& data);
   bool IsAnswerToThisRequest() const;
@@ -231,8 +233,7 @@
 
   Gateway& gateway_;  ///< Gateway that received the request.
   std::shared_ptr<GatewayCaller> caller_;  ///< Connection that gets the answer.
-  size_t head_bytes_ = 0;                  ///< Of the request, about.
-  CallerRequestMessage request_;           ///< Request as received.
+  CountedRequest request_;                 ///< Request as received.
   MemoryHolder memory_;                    ///< Counts what it holds.
   CallerFacts facts_;  ///< Facts from the header of the request.
   /** Shared parts of the prompt, and the one that stands for the request. */
--- a/src/transport/gateway/forward_attempt.cc
+++ b/src/transport/gateway/forward_attempt.cc
@@ -166,9 +166,11 @@
           " readers=" + JoinIds(placement.helpers_) +
           " age_ms=" + std::to_string((now - entry->last_heartbeat_).Ms()) +
           " left_ms=" + std::to_string(TimeLeft().Ms()));
-  attempt_->connection_->Start(BuildRequest(placement),
-                               request_.method() == http::verb::head,
-                               MakeHandler());
+  std::string request = BuildRequest(placement);
+  attempt_->request_bytes_ = request.capacity();
+  NoteMemory();
+  attempt_->connection_->Start(
+      std::move(request), request_.method() == http::verb::head, MakeHandler());
 }
 
 std::shared_ptr<TargetConnection> Forward::ConnectionTo(
@@ -264,8 +266,8 @@
 ExchangeHandler Forward::MakeHandler() {
   auto self = shared_from_this();
   return ExchangeHandler{
-      [self](unsigned status, const HttpFields& fields) {
-        self->OnHead(status, fields);
+      [self](unsigned status, HttpFields fields) {
+        self->OnHead(status, std::move(fields));
       },
       [self](const std::string& data) { self->OnBody(data); },
       [self](ExchangeEnd end) { self->OnExchangeEnd(end); },
--- a/src/transport/gateway/forward_outcome.cc
+++ b/src/transport/gateway/forward_outcome.cc
@@ -24,13 +24,14 @@
   }
 }
 
-void Forward::OnHead(unsigned status, const HttpFields& fields) {
+void Forward::OnHead(unsigned status, HttpFields fields) {
   if (ended_ || !attempt_) {
     return;
   }
   attempt_->status_ = status;
-  attempt_->fields_ = fields;
-  attempt_->facts_ = gateway_.Codec().read_answer_(status, fields);
+  attempt_->fields_ = std::move(fields);
+  NoteMemory();
+  attempt_->facts_ = gateway_.Codec().read_answer_(status, attempt_->fields_);
   attempt_->last_progress_ = gateway_.Now();
   gateway_.OnAnswerFacts(attempt_->target_, attempt_->start_ms_,
                          attempt_->facts_);
--- a/src/transport/gateway/gateway.cc
+++ b/src/transport/gateway/gateway.cc
@@ -101,21 +101,21 @@
       accept_again_(io_),
       readiness_(
           io_, memory_, shares_.service_,
-          [this](const HttpRequest& request, const RequestOrigin& /*origin*/,
+          [this](const CountedRequest& request, const RequestOrigin& /*origin*/,
                  const HttpService::Respond& done) {
             OnReadiness(request, done);
           },
           [this](HeadFault fault) { RecordBadHead("readiness", fault); }),
       control_(
           io_, memory_, shares_.service_,
-          [this](const HttpRequest& request, const RequestOrigin& origin,
+          [this](const CountedRequest& request, const RequestOrigin& origin,
                  HttpService::Respond done) {
             OnControl(request, origin, std::move(done));
           },
           [this](HeadFault fault) { RecordBadHead("control", fault); }),
       metrics_(
           io_, memory_, shares_.service_,
-          [this](const HttpRequest& /*request*/,
+          [this](const CountedRequest& /*request*/,
                  const RequestOrigin& /*origin*/,
                  const HttpService::Respond& done) {
             done(MakeReply(200, "text/plain", MetricsText()));
--- a/src/transport/gateway/gateway.h
+++ b/src/transport/gateway/gateway.h
@@ -282,21 +282,21 @@
   void SendSums(const GatewayLoad& own);
 
   // gateway_calls.cc: readiness, metrics, targets, operators.
-  void OnReadiness(const HttpRequest& request,
+  void OnReadiness(const CountedRequest& request,
                    const HttpService::Respond& done);
-  void OnControl(const HttpRequest& request, const RequestOrigin& origin,
+  void OnControl(const CountedRequest& request, const RequestOrigin& origin,
                  HttpService::Respond done);
   /** @return A registration whose warm-up can be judged by the registry. Logs a
    * warm-up that is not usable. */
   TargetRegistration CheckWarmUp(TargetRegistration target);
-  void OnRegister(const std::string& id, const HttpRequest& request,
+  void OnRegister(const std::string& id, const CountedRequest& request,
                   const HttpService::Respond& done);
   void OnDepart(const std::string& id, const RequestOrigin& origin,
                 const HttpService::Respond& done);
   /** Answers 200 once an operation is accepted, or 503. */
   void AnswerWhenAccepted(OperationId operation,
                           const HttpService::Respond& done);
-  void OnPutConfiguration(const HttpRequest& request,
+  void OnPutConfiguration(const CountedRequest& request,
                           HttpService::Respond done);
   void OnGetConfiguration(HttpService::Respond done);
   void OnEvacuationOrder(const EvacuationOrder& order,
--- a/src/transport/gateway/gateway_callers.cc
+++ b/src/transport/gateway/gateway_callers.cc
@@ -77,7 +77,7 @@
         }
       });
   caller->Start(GatewayCallerHooks{
-      [this, weak, current](CallerRequestMessage request) {
+      [this, weak, current](CountedRequest request) {
         auto connection = weak.lock();
         connection->SetNow(Now());
         auto forward =
--- a/src/transport/gateway/gateway_calls.cc
+++ b/src/transport/gateway/gateway_calls.cc
@@ -24,7 +24,7 @@
 
 }  // namespace
 
-void Gateway::OnReadiness(const HttpRequest& request,
+void Gateway::OnReadiness(const CountedRequest& request,
                           const HttpService::Respond& done) {
   const auto path = request.target();
   if (std::string_view(path.data(), path.size()) != codec_.readiness_path_) {
@@ -35,7 +35,8 @@
                  : MakeReply(kUnavailable, "text/plain", "not ready\n"));
 }
 
-void Gateway::OnControl(const HttpRequest& request, const RequestOrigin& origin,
+void Gateway::OnControl(const CountedRequest& request,
+                        const RequestOrigin& origin,
                         HttpService::Respond done) {
   const auto method = request.method_string();
   const auto path = request.target();
@@ -70,7 +71,7 @@
   }
 }
 
-void Gateway::OnRegister(const std::string& id, const HttpRequest& request,
+void Gateway::OnRegister(const std::string& id, const CountedRequest& request,
                          const HttpService::Respond& done) {
   const auto target = codec_.decode_registration_(id, request.body());
   if (!target.has_value()) {
@@ -153,7 +154,7 @@
   CarryOut(out);
 }
 
-void Gateway::OnPutConfiguration(const HttpRequest& request,
+void Gateway::OnPutConfiguration(const CountedRequest& request,
                                  HttpService::Respond done) {
   auto configuration =
       codec_.decode_configuration_(request.body(), known_routes_);
--- a/src/transport/gateway/http_service.cc
+++ b/src/transport/gateway/http_service.cc
@@ -34,7 +34,8 @@
 constexpr Duration kMostIdle = 90_s;
 /** For one request from its first byte on, or for one answer. */
 constexpr Duration kMostTransfer = 30_s;
-/** Memory of a connection: coroutine, parser with a whole head. */
+/** Memory of a connection: coroutine, parser with a head as sound peers send
+ * it. */
 constexpr size_t kConnectionBytes = 16UL << 10;
 
 bool HasUnreadInput(asio::ip::tcp::socket& socket) {
@@ -51,7 +52,10 @@
 
 /** The parser takes no longer head. */
 constexpr size_t kMostHeadBytes = 8192;
+/** The head of an ordinary request is shorter. */
+constexpr size_t kOrdinaryHeadBytes = 2048;
 constexpr unsigned kBadRequest = 400;
+constexpr unsigned kUnavailable = 503;
 
 /** Where a late answer meets the coroutine that waits for it. */
 struct Pending {
@@ -159,7 +163,7 @@
 
 asio::awaitable<bool> HttpService::ReadRequest(Connection& connection,
                                                beast::flat_buffer& buffer,
-                                               RequestParser& parser,
+                                               CountedRequestParser& parser,
                                                MemoryHolder& holder) {
   boost::system::error_code error;
   auto token = asio::redirect_error(asio::use_awaitable, error);
@@ -173,8 +177,7 @@
     if (!std::exchange(connection.has_bytes_, true)) {
       connection.since_ = BootNow();
     }
-    holder.Set(kConnectionBytes + buffer.capacity() +
-               parser.get().body().capacity());
+    holder.Set(kConnectionBytes + buffer.capacity() + HeldBytes(parser.get()));
   };
   const HeadFault fault =
       co_await ReadHead(socket, buffer, kMostHeadBytes, note_bytes, error);
@@ -187,6 +190,20 @@
     co_return false;
   }
   while (!error && !parser.is_done()) {
+    // A long head may take far more memory than its text; parsing many of them
+    // at once would pass the limit before the first one is ended. Ordinary
+    // requests, as those for readiness, are served all the same.
+    if (buffer.size() > kOrdinaryHeadBytes &&
+        !memory_.HasRoom(kMostHeadBytes)) {
+      ++closed_;
+      HttpReply refusal =
+          MakeReply(kUnavailable, "text/plain", "Out of memory; try again.\n");
+      refusal.set(http::field::retry_after,
+                  std::to_string(kRetryAfterMemory.Ms() / 1000));
+      refusal.keep_alive(false);
+      co_await http::async_write(socket, refusal, token);
+      co_return false;
+    }
     co_await http::async_read_some(socket, buffer, parser, token);
     note_bytes();
   }
@@ -213,7 +230,7 @@
   });
   holder.Set(kConnectionBytes);
   while (true) {
-    RequestParser parser;
+    CountedRequestParser parser;
     if (!co_await ReadRequest(*connection, buffer, parser, holder)) {
       co_return;
     }
--- a/src/transport/gateway/http_service.h
+++ b/src/transport/gateway/http_service.h
@@ -6,9 +6,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -20,6 +17,7 @@
 #include "state/clock_type.h"
 #include "state/verdict_type.h"
 #include "transport/gateway/memory_keeper.h"
+#include "transport/http_fields.h"
 #include "transport/http_reply.h"
 
 namespace gv {
@@ -41,7 +39,7 @@
   /** Gives the answer to one request; called once, now or later. */
   using Respond = std::function<void(HttpReply)>;
   using Handler =
-      std::function<void(HttpRequest, const RequestOrigin&, Respond)>;
+      std::function<void(CountedRequest, const RequestOrigin&, Respond)>;
   /** Told of a request that is refused, as its end is in doubt. */
   using BadHead = std::function<void(HeadFault)>;
 
@@ -67,14 +65,11 @@
   /** Notes which connections have no unread input, so that handlers get a late
    * arrived_after_. Call several times a second. */
   void NoteUnreadInput(TimePoint now);
-  /** @return Connections closed, or not accepted, for lack of descriptors since
-   * the last call. */
+  /** @return Connections closed, or not accepted, for lack of descriptors or
+   * memory since the last call. */
   uint64_t TakeClosed() { return std::exchange(closed_, 0); }
 
  private:
-  using RequestParser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
-
   /** One connection. */
   struct Connection {
     explicit Connection(boost::asio::ip::tcp::socket socket)
@@ -93,7 +88,7 @@
    * end is in doubt. */
   boost::asio::awaitable<bool> ReadRequest(Connection& connection,
                                            boost::beast::flat_buffer& buffer,
-                                           RequestParser& parser,
+                                           CountedRequestParser& parser,
                                            MemoryHolder& holder);
 
   boost::asio::io_context& io_;  ///< Runs all connections.
@@ -102,7 +97,7 @@
   /** Open ones. Shared, as coroutines may be destroyed after the service. */
   std::shared_ptr<std::set<std::shared_ptr<Connection>>> connections_ =
       std::make_shared<std::set<std::shared_ptr<Connection>>>();
-  uint64_t closed_ = 0;  ///< For lack of descriptors.
+  uint64_t closed_ = 0;  ///< For lack of descriptors or memory.
   TimePoint quiet_at_;   ///< Last time when no new connection waited.
   boost::asio::ip::tcp::acceptor acceptor_;  ///< Of the address.
   boost::asio::steady_timer accept_again_;   ///< After a failed accept.
--- a/src/transport/gateway/target_connection.cc
+++ b/src/transport/gateway/target_connection.cc
@@ -7,7 +7,6 @@
 
 #include "protocol/http_framing.h"
 #include "state/address_func.h"
-#include "transport/gateway/memory_keeper.h"
 
 namespace gv {
 namespace {
@@ -111,6 +110,7 @@
   parser_->skip(is_head_);
   head_sound_ = false;
   head_passed_ = false;
+  announces_close_ = false;
 }
 
 void TargetConnection::Break() {
@@ -160,7 +160,7 @@
     return false;
   }
   const bool is_request_sent = request_.empty() && !writing_;
-  return is_request_sent || AnnouncesClose(parser_->get().base());
+  return is_request_sent || announces_close_;
 }
 
 void TargetConnection::Read() {
@@ -198,8 +198,11 @@
 }
 
 void TargetConnection::NoteUnparsed() {
-  ShrinkIfEmpty(input_);
-  const size_t bytes = input_.empty() ? 0 : input_.capacity();
+  if (input_.empty() && input_.capacity() > chunk_.size()) {
+    input_.shrink_to_fit();
+  }
+  const size_t bytes =
+      input_.capacity() + (parser_ ? HeldBytes(parser_->get().base()) : 0);
   if (bytes != unparsed_ && handler_ && handler_->unparsed_) {
     unparsed_ = bytes;
     handler_->unparsed_(bytes);
@@ -252,6 +255,8 @@
       }
       PassHead();
       PassBody();
+      // The handler has them, and later ones, of a trailer, concern nobody.
+      parser_->get().base().clear();
       if (closed_ || !handler_) {
         return false;
       }
@@ -272,10 +277,12 @@
     return;
   }
   head_passed_ = true;
-  const auto& message = parser_->get();
   keep_ = parser_->keep_alive();
+  // A copy, as fields that are moved share the count of the parser's.
+  HttpFields fields = parser_->get().base();
+  announces_close_ = AnnouncesClose(fields);
   const auto head = handler_->head_;
-  head(message.result_int(), message.base());
+  head(parser_->get().result_int(), std::move(fields));
 }
 
 void TargetConnection::PassBody() {
--- a/src/transport/gateway/target_connection.h
+++ b/src/transport/gateway/target_connection.h
@@ -4,8 +4,6 @@
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -31,11 +29,12 @@
 
 /** Who wants to know of an exchange. */
 struct ExchangeHandler {
-  std::function<void(unsigned, const HttpFields&)> head_;  ///< Status, header.
-  std::function<void(std::string)> body_;                  ///< A part of it.
-  std::function<void(ExchangeEnd)> end_;                   ///< Called once.
-  /** Bytes that wait for more of the same header, chunk head or trailer have
-   * changed. Does not end the exchange. May be empty. */
+  std::function<void(unsigned, HttpFields)> head_;  ///< Status, header.
+  std::function<void(std::string)> body_;           ///< A part of it.
+  std::function<void(ExchangeEnd)> end_;            ///< Called once.
+  /** Bytes that wait for more of the same header, chunk head or trailer, or
+   * stand in the parser, have changed. Does not end the exchange. May be empty.
+   */
   std::function<void(size_t)> unparsed_ = nullptr;
 };
 
@@ -77,9 +76,6 @@
   bool IsReusable() const { return !closed_ && keep_ && !handler_; }
 
  private:
-  using Parser =
-      boost::beast::http::response_parser<boost::beast::http::string_body>;
-
   void Write();
   void OnWriteError();
   /** @return True if an orderly end of the connection completes a body that
@@ -105,7 +101,7 @@
   std::string address_;                               ///< "IP:port".
   std::function<void(TargetConnection&)> on_closed_;  ///< To the pool.
   std::optional<ExchangeHandler> handler_;            ///< Of the exchange.
-  std::optional<Parser> parser_;                      ///< Of the answer.
+  std::optional<CountedResponseParser> parser_;       ///< Of the answer.
   std::string exchange_id_;         ///< Of the latest request.
   std::string request_;             ///< Being sent.
   std::string input_;               ///< Read, not yet parsed.
@@ -113,18 +109,19 @@
   std::array<char, 8192> chunk_{};  ///< Of one read.
   TimePoint opened_;                ///< Start of the connecting.
   bool answered_ = false;           ///< An exchange was complete.
-  bool reused_ = false;        ///< answered_ at the start of this exchange.
-  int interim_heads_ = 0;      ///< Heads of 1xx before this answer.
-  bool connected_ = false;     ///< Ready to send.
-  bool writing_ = false;       ///< A write is in progress.
-  bool write_failed_ = false;  ///< In this exchange.
-  bool reading_ = false;       ///< A read is in progress.
-  bool paused_ = false;        ///< By SetPaused.
-  bool head_sound_ = false;    ///< The end of this answer is certain.
-  bool head_passed_ = false;   ///< Of this answer.
-  bool is_head_ = false;       ///< The answer has no body.
-  bool keep_ = true;           ///< The target keeps it open.
-  bool closed_ = false;        ///< At the end.
+  bool reused_ = false;           ///< answered_ at the start of this exchange.
+  int interim_heads_ = 0;         ///< Heads of 1xx before this answer.
+  bool connected_ = false;        ///< Ready to send.
+  bool writing_ = false;          ///< A write is in progress.
+  bool write_failed_ = false;     ///< In this exchange.
+  bool reading_ = false;          ///< A read is in progress.
+  bool paused_ = false;           ///< By SetPaused.
+  bool head_sound_ = false;       ///< The end of this answer is certain.
+  bool head_passed_ = false;      ///< Of this answer.
+  bool announces_close_ = false;  ///< Its head names the option "close".
+  bool is_head_ = false;          ///< The answer has no body.
+  bool keep_ = true;              ///< The target keeps it open.
+  bool closed_ = false;           ///< At the end.
 };
 
 }  // namespace gv
--- a/src/transport/gateway/wire_codec.h
+++ b/src/transport/gateway/wire_codec.h
@@ -2,7 +2,6 @@
  * surroundings; an adapter fills it in. */
 #pragma once
 
-#include <boost/beast/http/fields.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -11,11 +10,10 @@
 #include "state/routing_type.h"
 #include "state/target_registration_type.h"
 #include "state/verdict_type.h"
+#include "transport/http_fields.h"
 
 namespace gv {
 
-using HttpFields = boost::beast::http::fields;
-
 /** What the header of a caller's request says. */
 struct CallerFacts {
   std::string attempt_;                 ///< Id of this try of the caller.
