--- a/src/protocol/http_framing.cc
+++ b/src/protocol/http_framing.cc
@@ -157,9 +157,10 @@
     return HeadScan{};
   }
   const size_t first = head.find(kLineEnd);
+  const std::string_view fields = head.substr(first + kLineEnd.size());
   return HeadScan{
-      end + kHeadEnd.size(),
-      CheckFields(head.substr(0, first), head.substr(first + kLineEnd.size()))};
+      end + kHeadEnd.size(), CheckFields(head.substr(0, first), fields),
+      static_cast<size_t>(std::count(fields.begin(), fields.end(), '\n'))};
 }
 
 }  // namespace gv
--- a/src/protocol/http_framing.h
+++ b/src/protocol/http_framing.h
@@ -29,6 +29,7 @@
    * missing. */
   size_t size_ = 0;
   HeadFault fault_ = HeadFault::kNone;  ///< May be known before the end.
+  size_t fields_ = 0;                   ///< Of a whole head.
 };
 
 /**
--- a/src/transport/gateway/target_connection.cc
+++ b/src/transport/gateway/target_connection.cc
@@ -15,6 +15,8 @@
 namespace http = boost::beast::http;
 
 constexpr uint32_t kMostHeaderBytes = 64U << 10;
+/** Header fields of an answer. Sound targets send some ten. */
+constexpr size_t kMostFields = 200;
 /** Heads of 1xx before the answer; a sound target sends one or two. */
 constexpr int kMostInterimHeads = 8;
 constexpr unsigned kInformational = 100;
@@ -214,7 +216,7 @@
     return true;
   }
   const HeadScan scan = ScanHead(input_);
-  if (scan.fault_ != HeadFault::kNone ||
+  if (scan.fault_ != HeadFault::kNone || scan.fields_ > kMostFields ||
       (scan.size_ == 0 && input_.size() > kMostHeaderBytes)) {
     Break();
     return false;
--- a/tests/platform/many_fields_test.cc
+++ b/tests/platform/many_fields_test.cc
@@ -12,6 +12,7 @@
 #include "platform/gateway_rig.h"
 #include "platform/path_requests.h"
 #include "transport/http_fields.h"
+#include "transport/steady_clock.h"
 
 namespace gv {
 namespace {
@@ -136,4 +137,25 @@
   }
 }
 
+// Some 100 answers of one worker in trouble took processes over their memory.
+TEST_CASE("many fields: a head of an answer with too many ends its attempt") {
+  constexpr size_t kAnswerHeadBytes = 64000;
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nGooseberryvale-Attempt-Id: a1\r\n" +
+      std::string(kSigned) + "Content-Length: 2\r\n";
+  const std::string answer =
+      head + ShortFields(kAnswerHeadBytes - head.size()) + "\r\nx";
+  ScriptedTarget shop([&](const TargetRequest& /*request*/, TargetLine& line) {
+    line.Send(answer);
+    line.PeerClosesWithin(std::chrono::milliseconds(4000));
+  });
+  GatewayRig rig(kConfiguration, nullptr, kSmallMemory);
+  rig.Register("i-1", "shop", shop.Address());
+  const TimePoint begin = SteadyNow();
+  const unsigned status = AskWhole(rig, Request("/pay/x")).status_;
+  CHECK(status == 502);
+  // Before the timeout of the route.
+  CHECK(SteadyNow() - begin < 2500_ms);
+}
+
 }  // namespace gv
