--- a/src/transport/gateway/target_connection.cc
+++ b/src/transport/gateway/target_connection.cc
@@ -200,7 +200,7 @@
 }
 
 void TargetConnection::NoteUnparsed() {
-  if (input_.empty() && input_.capacity() > chunk_.size()) {
+  if (input_.empty()) {
     input_.shrink_to_fit();
   }
   const size_t bytes =
